--- a/src/cmd/cmd_node.c
+++ b/src/cmd/cmd_node.c
@@ -2,9 +2,14 @@
 #include "base/status.h"
 #include "cmd/cmd.h"
 #include "node/node.h"
+#include "platform/platform.h"
 
 enum cmd_exit cmd_node(const struct cmd_options *o)
 {
+	static const struct fp_platform platform = {
+		.dialect = &platform_dialect,
+		.registry_init = platform_registry_init,
+	};
 	struct fp_settings s;
 
 	if (!o->settings)
@@ -13,5 +18,6 @@
 	if (fp_settings_load(o->settings, &s))
 		return cmd_fail(o, CMD_USAGE, "%s", fp_last_message());
 	/* runs until it is told to stop */
-	return fp_node_main(&s, o->settings) ? CMD_REFUSED : CMD_DONE;
+	return fp_node_main(&s, o->settings, &platform) ? CMD_REFUSED :
+							  CMD_DONE;
 }
--- /dev/null
+++ b/src/coordination/registry.h
@@ -0,0 +1,102 @@
+/* registry.h - a store with leases and watches, as the directory sees it
+ *
+ * Every call ends in exactly one call of its done function, on the loop's
+ * thread, unless the registry is ended before. Keys are texts, values bytes.
+ */
+#ifndef FP_COORDINATION_REGISTRY_H
+#define FP_COORDINATION_REGISTRY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/counters.h"
+#include "base/status.h"
+#include "transport/loop.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct fp_registry;
+
+/** Puts whatever stands there. */
+#define FP_REGISTRY_ANY UINT64_MAX
+
+/** An item, or with a watch what became of it. */
+struct fp_registry_item {
+	const char *key;
+	const uint8_t *value;
+	size_t value_bytes;
+	uint64_t revision; /**< of its last change */
+	bool removed; /**< watches only */
+};
+
+/** How a call ended. */
+struct fp_registry_result {
+	/**
+	 * FP_OK. FP_NOT_FOUND: no such item, or lease. FP_CONFLICT: another
+	 * revision stands, no effect. FP_EXHAUSTED: a watch whose history is
+	 * gone; read anew. FP_UNAVAILABLE: no effect. FP_TIMEOUT: the effect
+	 * is unknown.
+	 */
+	enum fp_status status;
+	uint64_t revision; /**< of the whole store, to watch from */
+	uint64_t lease; /**< of a lease that was opened */
+	const struct fp_registry_item *items;
+	size_t n_items;
+};
+
+typedef void (*fp_registry_done_fn)(void *ctx,
+				    const struct fp_registry_result *r);
+
+/** Behaviour of a registry. */
+struct fp_registry_ops {
+	/** Reads one item; linearizable. */
+	void (*get)(struct fp_registry *r, const char *key,
+		    fp_registry_done_fn done, void *ctx);
+	/** Reads all items under a prefix. */
+	void (*list)(struct fp_registry *r, const char *prefix,
+		     fp_registry_done_fn done, void *ctx);
+	/** Waits for changes after a revision, at most wait_us; FP_OK with no
+	 *  items when there was none. */
+	void (*watch)(struct fp_registry *r, const char *prefix, uint64_t after,
+		      int64_t wait_us, fp_registry_done_fn done, void *ctx);
+	/**
+	 * Writes an item.
+	 *
+	 * @param lease   it goes when this lease ends; 0: none
+	 * @param expect  revision that must stand, 0: none may exist, or
+	 *                FP_REGISTRY_ANY
+	 */
+	void (*put)(struct fp_registry *r, const char *key, const void *value,
+		    size_t bytes, uint64_t lease, uint64_t expect,
+		    fp_registry_done_fn done, void *ctx);
+	/** Opens a lease. */
+	void (*open_lease)(struct fp_registry *r, int64_t ttl_us,
+			   fp_registry_done_fn done, void *ctx);
+	/** Renews a lease; FP_NOT_FOUND when it has ended. */
+	void (*keep_lease)(struct fp_registry *r, uint64_t lease,
+			   fp_registry_done_fn done, void *ctx);
+	/** Ends a lease and removes its items. */
+	void (*end_lease)(struct fp_registry *r, uint64_t lease,
+			  fp_registry_done_fn done, void *ctx);
+	void (*end)(struct fp_registry *r);
+};
+
+/** A registry; the first member selects the behaviour. */
+struct fp_registry {
+	const struct fp_registry_ops *ops;
+};
+
+/** Makes the client of a deployment's store. */
+typedef enum fp_status (*fp_registry_init_fn)(struct fp_loop *l,
+					      const char *url,
+					      int64_t timeout_us,
+					      struct fp_counters *cs,
+					      struct fp_registry **out);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -1,4 +1,5 @@
 /* answer.c - answers of all kinds towards callers and the backend server */
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
@@ -24,12 +25,29 @@
 	"Date",
 };
 
-bool answer_header_passes(const char *name)
+/* Headers that only the node writes, or that were meant for it alone. */
+static bool is_own(const struct fp_dialect *d, const char *name)
 {
+	const char *const own[] = {
+		d->deadline_ms, d->key,	   d->call,	      d->root,	 d->org,
+		d->cls,		d->target, d->caller_service, d->not_run
+	};
 	size_t i;
 
-	if (strncasecmp(name, "Fulmar-", 7) == 0)
+	for (i = 0; i < sizeof(own) / sizeof(own[0]); i++)
+		if (own[i] && strcasecmp(name, own[i]) == 0)
+			return true;
+	return false;
+}
+
+bool answer_header_passes(const struct fp_traffic *t, const char *name)
+{
+	size_t i;
+
+	if (strncasecmp(name, "Fulmar-", 7) == 0 || is_own(t->dialect, name))
 		return false;
+	if (t->dialect->pass_host && strcasecmp(name, "Host") == 0)
+		return true;
 	for (i = 0; i < sizeof(private_headers) / sizeof(private_headers[0]);
 	     i++)
 		if (strcasecmp(name, private_headers[i]) == 0)
@@ -43,12 +61,39 @@
 	fp_counter_add(t->n.results[cls][reason], 1);
 }
 
+static bool is_promise(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/* The status of a refusal, which may itself say whether the request ran. */
+static int refusal_status(const struct fp_traffic *t, enum fp_outcome outcome,
+			  enum fp_reason reason)
+{
+	int status = fp_reason_http_status(reason);
+
+	if (!t->dialect->status_promises)
+		return status;
+	if (outcome != FP_OUTCOME_NOT_RUN)
+		return is_promise(status) ? 502 : status;
+	return status >= 500 ? 503 : status;
+}
+
+static void print_seconds(int64_t us, char *out, size_t size)
+{
+	if (us % FP_US_PER_S == 0)
+		snprintf(out, size, "%" PRId64, us / FP_US_PER_S);
+	else
+		snprintf(out, size, "%" PRId64 ".%03" PRId64, us / FP_US_PER_S,
+			 us % FP_US_PER_S / FP_US_PER_MS);
+}
+
 void answer_refuse(struct fp_traffic *t, struct fp_http_exchange *x,
 		   enum fp_class cls, enum fp_outcome outcome,
-		   enum fp_reason reason, uint32_t retry_after_s)
+		   enum fp_reason reason, int64_t retry_after_us)
 {
 	struct fp_http_header h[EXTRA_HEADERS];
-	char seconds[16];
+	char seconds[32];
 	char body[160];
 	uint32_t n = 0;
 	int len;
@@ -59,14 +104,14 @@
 	h[n++] = (struct fp_http_header){ "Fulmar-Reason",
 					  fp_reason_name(reason) };
 	h[n++] = (struct fp_http_header){ "Content-Type", "application/json" };
-	if (retry_after_s) {
-		snprintf(seconds, sizeof(seconds), "%u", retry_after_s);
+	if (retry_after_us && outcome == FP_OUTCOME_NOT_RUN) {
+		print_seconds(retry_after_us, seconds, sizeof(seconds));
 		h[n++] = (struct fp_http_header){ "Retry-After", seconds };
 	}
 	len = snprintf(body, sizeof(body),
 		       "{\"outcome\": \"%s\", \"reason\": \"%s\"}\n",
 		       fp_outcome_name(outcome), fp_reason_name(reason));
-	fp_http_reply(x, fp_reason_http_status(reason), h, n, body,
+	fp_http_reply(x, refusal_status(t, outcome, reason), h, n, body,
 		      (size_t)len);
 }
 
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -18,8 +18,12 @@
 
 /* How long after the deadline the exit node's own verdict is waited for. */
 #define VERDICT_GRACE_US (20 * FP_US_PER_MS)
-#define RETRY_AFTER_S	 1
 #define MIN_ATTEMPT_US	 (20 * FP_US_PER_MS)
+/* Bounds of the time after which a refused caller may come back. */
+#define RETRY_AFTER_MIN_US (100 * FP_US_PER_MS)
+#define RETRY_AFTER_MAX_US FP_US_PER_S
+/* Of the latency aimed at, so that the second try can still be in time. */
+#define RETRY_AFTER_PART 4
 
 /* --- life --- */
 
@@ -29,7 +33,7 @@
 	uint32_t i;
 
 	for (i = 0; i < r->n_headers; i++) {
-		if (!answer_header_passes(r->headers[i].name) ||
+		if (!answer_header_passes(c->t, r->headers[i].name) ||
 		    to->n_headers == FP_MAX_CALL_HEADERS)
 			continue;
 		to->headers[to->n_headers].name = strdup(r->headers[i].name);
@@ -70,8 +74,23 @@
 void call_set_route(struct call *c, const struct fp_route *r)
 {
 	memcpy(c->msg.route, r->name, sizeof(c->msg.route));
-	memcpy(c->msg.service, r->service, sizeof(c->msg.service));
+	strncpy(c->msg.service, fp_route_service(r, traffic_draw()),
+		sizeof(c->msg.service) - 1);
 	c->msg.once = !r->idempotent;
+	c->unnamed = r->unnamed;
+	c->target_us = r->target_ms * FP_US_PER_MS;
+	c->max_workers = r->max_workers && r->max_workers < FP_MAX_TRIED ?
+				 r->max_workers :
+				 FP_MAX_TRIED;
+}
+
+int64_t call_retry_after_us(const struct call *c)
+{
+	int64_t us = c->target_us / RETRY_AFTER_PART;
+
+	if (!c->target_us || us > RETRY_AFTER_MAX_US)
+		return RETRY_AFTER_MAX_US;
+	return us < RETRY_AFTER_MIN_US ? RETRY_AFTER_MIN_US : us;
 }
 
 static void forget_attempt(struct call *c)
@@ -130,7 +149,7 @@
 }
 
 void call_refuse(struct call *c, enum fp_outcome outcome, enum fp_reason why,
-		 uint32_t retry_after_s)
+		 int64_t retry_after_us)
 {
 	if (outcome == FP_OUTCOME_NOT_RUN &&
 	    (c->maybe_ran || earlier_may_have_run(c, why)))
@@ -139,7 +158,7 @@
 	limits_ended(c, why, 0);
 	slo_ended(c, outcome, why, 0);
 	return_attempts(c);
-	answer_refuse(c->t, c->x, c->msg.cls, outcome, why, retry_after_s);
+	answer_refuse(c->t, c->x, c->msg.cls, outcome, why, retry_after_us);
 	call_free(c);
 }
 
@@ -216,7 +235,7 @@
 static void attempt_over(struct call *c, enum fp_outcome outcome,
 			 enum fp_reason why)
 {
-	bool again = c->n_tried < FP_MAX_TRIED && !c->left;
+	bool again = c->n_tried < c->max_workers && !c->left;
 
 	forget_attempt(c);
 	if (outcome != FP_OUTCOME_NOT_RUN) {
@@ -229,7 +248,9 @@
 	}
 	if (!again) {
 		call_refuse(c, outcome, why,
-			    outcome == FP_OUTCOME_NOT_RUN ? RETRY_AFTER_S : 0);
+			    outcome == FP_OUTCOME_NOT_RUN ?
+				    call_retry_after_us(c) :
+				    0);
 		return;
 	}
 	fp_counter_add(c->t->n.retries, 1);
@@ -319,14 +340,14 @@
 
 	fp_timer_set(c->t->loop, &c->deadline_timer,
 		     c->deadline_us + VERDICT_GRACE_US, on_deadline, c);
-	if (!c->msg.once) {
+	if (!c->msg.once || c->unnamed) {
 		call_have_claim(c);
 		return;
 	}
 	c->claim_open = true;
 	why = claim_take(c);
 	if (why != FP_REASON_NONE)
-		call_refuse(c, FP_OUTCOME_NOT_RUN, why, RETRY_AFTER_S);
+		call_refuse(c, FP_OUTCOME_NOT_RUN, why, call_retry_after_us(c));
 }
 
 void call_have_claim(struct call *c)
@@ -336,7 +357,7 @@
 
 	c->claim_open = false;
 	if (why != FP_REASON_NONE) {
-		call_refuse(c, FP_OUTCOME_NOT_RUN, why, RETRY_AFTER_S);
+		call_refuse(c, FP_OUTCOME_NOT_RUN, why, call_retry_after_us(c));
 		return;
 	}
 	/* A nested call is part of the request that paid at its root. */
@@ -344,9 +365,12 @@
 		st = tokens_take(c);
 	if (st == FP_OK)
 		call_have_token(c);
+	else if (st == FP_EXHAUSTED)
+		call_refuse(c, FP_OUTCOME_NOT_RUN, FP_REASON_OVER_RATE,
+			    call_retry_after_us(c));
 	else if (st == FP_FULL)
 		call_refuse(c, FP_OUTCOME_NOT_RUN, FP_REASON_NO_TOKENS,
-			    RETRY_AFTER_S);
+			    call_retry_after_us(c));
 }
 
 void call_have_token(struct call *c)
@@ -363,7 +387,7 @@
 
 	if (!m) {
 		call_refuse(c, FP_OUTCOME_NOT_RUN, FP_REASON_NO_WORKER,
-			    RETRY_AFTER_S);
+			    call_retry_after_us(c));
 		return;
 	}
 	c->msg.left_us = c->deadline_us - now_us;
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -10,11 +10,14 @@
 	struct fp_traffic *t;
 	struct fp_http_exchange *x; /* NULL once answered */
 	bool left; /* the other end went away */
+	bool unnamed; /* bound by its attempt alone, without a claim */
 	struct fp_msg_call msg; /* what is sent; its texts are owned */
 	uint8_t parent_id[FP_CALL_ID_BYTES]; /* of the execution, if nested */
 	uint32_t org_index; /* UINT32_MAX on open routes */
 	int64_t started_us;
 	int64_t deadline_us;
+	int64_t target_us; /* latency that the route aims at; 0: not said */
+	uint32_t max_workers; /* that may be offered it */
 	struct fp_attempt_pot pot; /* extra attempts left */
 	bool maybe_ran; /* some attempt ended with unknown outcome */
 	uint64_t tried[FP_MAX_TRIED]; /* workers that were offered it */
@@ -56,9 +59,12 @@
 /** Sends it to a worker; the call may be over when this returns. */
 void call_send(struct call *c);
 
+/** When a caller that is refused for load had better come back. */
+int64_t call_retry_after_us(const struct call *c);
+
 /** Ends it with a refusal. */
 void call_refuse(struct call *c, enum fp_outcome outcome, enum fp_reason why,
-		 uint32_t retry_after_s);
+		 int64_t retry_after_us);
 
 /* --- limits.c: what may enter --- */
 
--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -6,6 +6,7 @@
  * server can come to see it.
  */
 #include <sodium.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,20 +19,31 @@
 #define BEARER		"Bearer "
 #define MAX_KEY_BYTES	256
 #define OPEN_ORG_WEIGHT 1
-#define CALL_HEADER	"Fulmar-Call"
 /* Extra attempts that a nested call borrows from its parent's pot, at most. */
 #define NESTED_ATTEMPTS 2
+/* For a request to reach its worker once its key was looked at. */
+#define REVOKE_MARGIN_US (600 * FP_US_PER_MS)
 
 static const char *header(const struct fp_http_request *r, const char *name)
 {
 	return fp_http_find_header(r->headers, r->n_headers, name);
 }
 
+static const char *key_header(const struct fp_traffic *t)
+{
+	return t->dialect->key ? t->dialect->key : "Authorization";
+}
+
 /* The key of the request, or NULL. */
-static const char *find_key(const struct fp_http_request *r)
+static const char *find_key(const struct fp_traffic *t,
+			    const struct fp_http_request *r)
 {
-	const char *value = header(r, "Authorization");
+	const char *value = header(r, key_header(t));
 
+	if (t->dialect->key)
+		return value && value[0] && strlen(value) <= MAX_KEY_BYTES ?
+			       value :
+			       NULL;
 	if (!value || strncasecmp(value, BEARER, strlen(BEARER)) != 0)
 		return NULL;
 	value += strlen(BEARER);
@@ -41,7 +53,8 @@
 	return value;
 }
 
-static bool key_misplaced(const struct fp_http_request *r, const char *key)
+static bool key_misplaced(const struct fp_traffic *t,
+			  const struct fp_http_request *r, const char *key)
 {
 	uint32_t i;
 
@@ -51,41 +64,56 @@
 	    memmem(r->body, r->body_bytes, key, strlen(key)) != NULL)
 		return true;
 	for (i = 0; i < r->n_headers; i++)
-		if (strcasecmp(r->headers[i].name, "Authorization") != 0 &&
+		if (strcasecmp(r->headers[i].name, key_header(t)) != 0 &&
 		    strstr(r->headers[i].value, key))
 			return true;
 	return false;
 }
 
+/* Whether a key that was withdrawn would be known to be by now. */
+static bool keys_are_current(const struct fp_traffic *t)
+{
+	int64_t at_us = atomic_load(&t->current_us);
+
+	if (!t->hosted)
+		return true;
+	return at_us && fp_mono_us(t->clock) - at_us <
+				t->settings->revoke_us - REVOKE_MARGIN_US;
+}
+
 /* Finds the organisation; FP_REASON_NONE when the request may go on. */
 static enum fp_reason check_key(struct call *c, const struct fp_route *route,
 				const struct fp_http_request *r)
 {
 	const struct fp_config *cfg = c->t->config;
 	uint8_t hash[FP_KEY_HASH_BYTES];
-	const char *key = find_key(r);
+	const char *key = find_key(c->t, r);
 
 	c->org_index = UINT32_MAX;
 	c->msg.org_weight = OPEN_ORG_WEIGHT;
-	if (key && key_misplaced(r, key))
+	if (key && key_misplaced(c->t, r, key))
 		return FP_REASON_KEY_MISPLACED;
-	if (route->open)
+	if (route->open || cfg->keyless)
 		return FP_REASON_NONE;
 	if (!key)
 		return FP_REASON_KEY_MISSING;
+	if (!keys_are_current(c->t))
+		return FP_REASON_ISOLATED;
 	fp_key_hash(key, strlen(key), hash);
 	if (fp_config_find_key(cfg, hash, &c->org_index) != FP_OK)
 		return FP_REASON_KEY_UNKNOWN;
 	snprintf(c->msg.org, sizeof(c->msg.org), "%s",
 		 cfg->orgs[c->org_index].name);
 	c->msg.org_weight = cfg->orgs[c->org_index].rate_per_s;
+	if (cfg->orgs[c->org_index].has_class)
+		c->msg.cls = cfg->orgs[c->org_index].cls;
 	return FP_REASON_NONE;
 }
 
 static void set_deadline(struct call *c, const struct fp_http_request *r,
 			 int64_t limit_us)
 {
-	const char *wish = header(r, "Fulmar-Deadline-Ms");
+	const char *wish = header(r, c->t->dialect->deadline_ms);
 	long long ms = wish ? strtoll(wish, NULL, 10) : 0;
 	int64_t at_us;
 
@@ -129,7 +157,7 @@
 		   enum fp_class cls, enum fp_reason why)
 {
 	answer_refuse(t, x, cls, FP_OUTCOME_NOT_RUN, why,
-		      fp_reason_http_status(why) == 503 ? 1 : 0);
+		      fp_reason_http_status(why) == 503 ? FP_US_PER_S : 0);
 }
 
 static const struct fp_route *find_route(struct fp_traffic *t,
@@ -151,7 +179,8 @@
 		refuse(t, x, FP_CLASS_NORMAL, FP_REASON_MALFORMED);
 		return NULL;
 	}
-	route = fp_config_find_route(t->config, r->method, r->uri);
+	route = fp_config_find_route(t->config, header(r, "Host"), r->method,
+				     r->uri);
 	if (!route)
 		refuse(t, x, FP_CLASS_NORMAL, FP_REASON_ROUTE_UNKNOWN);
 	return route;
@@ -171,20 +200,24 @@
 	c->msg.cls = route->cls;
 	why = check_key(c, route, r);
 	if (why != FP_REASON_NONE) {
-		call_refuse(c, FP_OUTCOME_NOT_RUN, why, 0);
+		call_refuse(c, FP_OUTCOME_NOT_RUN, why,
+			    why == FP_REASON_ISOLATED ? call_retry_after_us(c) :
+							0);
 		return;
 	}
 	randombytes_buf(c->msg.root, sizeof(c->msg.root));
 	set_deadline(c, r, c->started_us + route->deadline_ms * FP_US_PER_MS);
 	c->msg.fingerprint = fingerprint(c);
-	c->pot.left = preset_attempts(t->config);
+	memcpy(c->msg.caller, t->settings->service, sizeof(c->msg.caller));
+	c->pot.left = route->max_workers ? route->max_workers - 1 :
+					   preset_attempts(t->config);
 	call_begin(c);
 }
 
 static bool parse_call_id(const struct fp_http_request *r,
 			  uint8_t id[FP_CALL_ID_BYTES])
 {
-	const char *hex = header(r, CALL_HEADER);
+	const char *hex = header(r, fp_dialect_own.call);
 	size_t got;
 
 	if (!hex || strlen(hex) != (size_t)FP_CALL_ID_BYTES * 2)
@@ -228,6 +261,7 @@
 	memcpy(c->parent_id, id, sizeof(c->parent_id));
 	c->org_index = UINT32_MAX;
 	set_deadline(c, r, up.deadline_us);
+	memcpy(c->msg.caller, t->settings->service, sizeof(c->msg.caller));
 	c->pot.left = fp_attempt_lend(up.pot, NESTED_ATTEMPTS);
 	call_begin(c);
 }
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -19,7 +19,7 @@
 #include "base/log.h"
 #include "node/traffic_private.h"
 
-#define OWN_HEADERS	  6
+#define OWN_HEADERS	  8
 #define CALL_HEX_BYTES	  (FP_CALL_ID_BYTES * 2 + 1)
 #define CANCEL_TIMEOUT_US (200 * FP_US_PER_MS)
 
@@ -201,13 +201,14 @@
 
 /* --- at the backend server --- */
 
-static void copy_answer(const struct fp_http_result *res,
+static void copy_answer(const struct fp_traffic *t,
+			const struct fp_http_result *res,
 			struct fp_msg_reply *r)
 {
 	uint32_t i;
 
 	for (i = 0; i < res->n_headers; i++) {
-		if (!answer_header_passes(res->headers[i].name) ||
+		if (!answer_header_passes(t, res->headers[i].name) ||
 		    r->content.n_headers == FP_MAX_CALL_HEADERS)
 			continue;
 		r->content.headers[r->content.n_headers].name =
@@ -220,27 +221,32 @@
 	r->content.body_bytes = res->body_bytes;
 }
 
-static bool says_not_run(const struct fp_http_result *res)
+static bool says_not_run(const struct fp_traffic *t,
+			 const struct fp_http_result *res)
 {
 	const char *mark = fp_http_find_header(res->headers, res->n_headers,
-					       "Fulmar-Not-Run");
+					       t->dialect->not_run);
 
+	if (t->dialect->other_not_run)
+		return mark || res->http_status == 421;
 	return res->http_status == 503 && mark && strcmp(mark, "1") == 0;
 }
 
-static void judge(const struct fp_http_result *res, struct fp_msg_reply *r)
+static void judge(const struct fp_traffic *t, const struct fp_http_result *res,
+		  struct fp_msg_reply *r)
 {
 	r->outcome = FP_OUTCOME_UNKNOWN;
 	switch (res->status) {
 	case FP_OK:
 		r->outcome = FP_OUTCOME_RAN;
 		r->http_status = res->http_status;
-		if (!says_not_run(res)) {
-			copy_answer(res, r);
+		if (!says_not_run(t, res)) {
+			copy_answer(t, res, r);
 			return;
 		}
 		r->outcome = FP_OUTCOME_NOT_RUN;
-		r->reason = FP_REASON_OVERLOADED;
+		r->reason = res->http_status == 421 ? FP_REASON_STOPPING :
+						      FP_REASON_OVERLOADED;
 		return;
 	case FP_UNAVAILABLE:
 		r->outcome = FP_OUTCOME_NOT_RUN;
@@ -275,7 +281,7 @@
 
 	e->send = NULL;
 	r.run_us = fp_loop_now_us(t->loop) - e->sent_us;
-	judge(res, &r);
+	judge(t, res, &r);
 	if (r.reason == FP_REASON_CUT || r.reason == FP_REASON_NO_WORKER)
 		worker_lost_call(t, e->msg.fingerprint);
 	leave_slot(e, r.reason == FP_REASON_OVERLOADED ||
@@ -294,8 +300,12 @@
 static void backend_url(const struct fp_traffic *t, const char *uri, char *url,
 			size_t size)
 {
-	snprintf(url, size, "http://%s:%u%s", t->settings->local_address,
-		 t->worker.port, uri);
+	if (t->settings->backend_address[0])
+		snprintf(url, size, "http://%s%s", t->settings->backend_address,
+			 uri);
+	else
+		snprintf(url, size, "http://%s:%u%s",
+			 t->settings->local_address, t->worker.port, uri);
 }
 
 static void tell_cancelled(struct execution *e)
@@ -303,7 +313,7 @@
 	struct fp_traffic *t = e->t;
 	char hex[CALL_HEX_BYTES];
 	char url[FP_ADDRESS_BYTES + 64];
-	struct fp_http_header h = { "Fulmar-Call", hex };
+	struct fp_http_header h = { t->dialect->call, hex };
 	struct fp_http_out o = { .method = "POST",
 				 .url = url,
 				 .headers = &h,
@@ -311,25 +321,36 @@
 				 .timeout_us = CANCEL_TIMEOUT_US,
 				 .max_answer_bytes = 4096 };
 
+	if (!t->dialect->cancel_path)
+		return;
 	sodium_bin2hex(hex, sizeof(hex), e->call_id, sizeof(e->call_id));
-	backend_url(t, "/fulmar/cancel", url, sizeof(url));
+	backend_url(t, t->dialect->cancel_path, url, sizeof(url));
 	fp_http_send(t->client, &o, ignore_result, NULL, NULL);
 }
 
+static void put_header(struct fp_http_header *h, uint32_t *n, const char *name,
+		       const char *value)
+{
+	if (name && value[0])
+		h[(*n)++] = (struct fp_http_header){ name, value };
+}
+
 static uint32_t own_headers(const struct execution *e, int64_t left_us,
 			    struct fp_http_header *h, char texts[3][64])
 {
+	const struct fp_dialect *d = e->t->dialect;
 	uint32_t n = 0;
 
 	sodium_bin2hex(texts[0], 64, e->call_id, sizeof(e->call_id));
 	sodium_bin2hex(texts[1], 64, e->msg.root, sizeof(e->msg.root));
 	snprintf(texts[2], 64, "%" PRId64, left_us / FP_US_PER_MS);
-	h[n++] = (struct fp_http_header){ "Fulmar-Call", texts[0] };
-	h[n++] = (struct fp_http_header){ "Fulmar-Request", texts[1] };
-	h[n++] = (struct fp_http_header){ "Fulmar-Deadline-Ms", texts[2] };
-	h[n++] = (struct fp_http_header){ "Fulmar-Org", e->msg.org };
-	h[n++] = (struct fp_http_header){ "Fulmar-Class",
-					  fp_class_name(e->msg.cls) };
+	put_header(h, &n, d->call, texts[0]);
+	put_header(h, &n, d->root, texts[1]);
+	put_header(h, &n, d->deadline_ms, texts[2]);
+	put_header(h, &n, d->org, e->msg.org);
+	put_header(h, &n, d->cls, fp_class_name(e->msg.cls));
+	put_header(h, &n, d->caller_service, e->msg.caller);
+	put_header(h, &n, d->target, e->t->worker.instance);
 	return n;
 }
 
@@ -351,6 +372,11 @@
 
 	e->sent_us = fp_loop_now_us(t->loop);
 	o.timeout_us = e->deadline_us - e->sent_us;
+	if (!t->worker.serving) {
+		leave_slot(e, false);
+		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_STOPPING);
+		return;
+	}
 	if (o.timeout_us <= 0) {
 		leave_slot(e, false);
 		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_DEADLINE);
@@ -362,6 +388,10 @@
 		h[o.n_headers].value = e->msg.content.headers[i].value;
 		o.n_headers++;
 	}
+	if (t->dialect->request_id) {
+		o.echo = t->dialect->request_id;
+		o.echo_value = fp_msg_header_find(&e->msg.content, o.echo);
+	}
 	backend_url(t, e->msg.uri, url, sizeof(url));
 	fp_counter_add(t->n.executions, 1);
 	if (fp_http_send(t->client, &o, on_backend_done, e, &e->send) == FP_OK)
--- /dev/null
+++ b/src/node/hosted.c
@@ -0,0 +1,292 @@
+/* hosted.c - control of a node on a platform whose store has leases */
+#include "node/hosted.h"
+
+#include <apr_pools.h>
+#include <apr_thread_proc.h>
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "coordination/directory.h"
+#include "transport/http_server.h"
+
+#define ADMIN_BODY_BYTES   4096u
+#define ADMIN_HEADER_BYTES 8192u
+#define ADMIN_CONNECTIONS  16u
+
+struct fp_hosted {
+	const struct fp_settings *settings;
+	struct fp_counters *counters;
+	struct fp_loop *loop;
+	apr_pool_t *pool;
+	apr_thread_t *thread;
+	struct fp_traffic *traffic;
+	struct fp_registry *registry;
+	struct fp_directory *directory;
+	struct fp_http_server *admin;
+	uint32_t n_members;
+	void (*stopped)(void *ctx);
+	void *stopped_ctx;
+};
+
+/* --- what the directory tells --- */
+
+static void on_config(void *ctx, struct fp_config *c)
+{
+	struct fp_hosted *h = ctx;
+
+	fp_traffic_set_config(h->traffic, c);
+}
+
+static void on_members(void *ctx, struct fp_member_table *m)
+{
+	struct fp_hosted *h = ctx;
+
+	h->n_members = m->n;
+	fp_traffic_set_members(h->traffic, m);
+}
+
+static void on_secret(void *ctx,
+		      const uint8_t secret[FP_DIRECTORY_SECRET_BYTES])
+{
+	struct fp_hosted *h = ctx;
+	struct fp_settings s = *h->settings;
+
+	memcpy(s.secrets[0], secret, sizeof(s.secrets[0]));
+	s.n_secrets = 1;
+	fp_traffic_set_secrets(h->traffic, &s);
+	sodium_memzero(&s, sizeof(s));
+}
+
+static void on_current(void *ctx, int64_t asked_us)
+{
+	struct fp_hosted *h = ctx;
+
+	fp_traffic_set_current(h->traffic, asked_us);
+}
+
+/* --- operators --- */
+
+static void reply_metrics(struct fp_hosted *h, struct fp_http_exchange *x)
+{
+	static const struct fp_http_header type = {
+		"Content-Type", "text/plain; version=0.0.4"
+	};
+	size_t len = 0;
+	char *text = fp_counters_render(h->counters, &len);
+
+	fp_http_reply(x, text ? 200 : 500, &type, 1, text ? text : "", len);
+	free(text);
+}
+
+static void reply_status(struct fp_hosted *h, struct fp_http_exchange *x)
+{
+	static const struct fp_http_header type = { "Content-Type",
+						    "application/json" };
+	char body[256];
+	int n = snprintf(body, sizeof(body),
+			 "{\"node\": \"%s\", \"service\": \"%s\", "
+			 "\"config_revision\": %" PRIu64 ", \"members\": %u, "
+			 "\"whole\": %s}\n",
+			 h->settings->name, h->settings->service,
+			 fp_directory_revision(h->directory), h->n_members,
+			 fp_directory_is_whole(h->directory) ? "true" :
+							       "false");
+
+	fp_http_reply(x, 200, &type, 1, body, (size_t)n);
+}
+
+static void on_request(void *ctx, struct fp_http_exchange *x,
+		       const struct fp_http_request *r)
+{
+	if (strcmp(r->uri, "/metrics") == 0)
+		reply_metrics(ctx, x);
+	else if (strcmp(r->uri, "/v1/status") == 0)
+		reply_status(ctx, x);
+	else
+		fp_http_reply(x, 404, NULL, 0, "", 0);
+}
+
+static enum fp_status open_admin(struct fp_hosted *h)
+{
+	struct fp_http_server_config cfg = {
+		.address = h->settings->address,
+		.port = h->settings->admin_port,
+		.max_body_bytes = ADMIN_BODY_BYTES,
+		.max_header_bytes = ADMIN_HEADER_BYTES,
+		.max_connections = ADMIN_CONNECTIONS,
+	};
+	struct fp_http_handler handler = { .request = on_request, .ctx = h };
+
+	return fp_http_server_init(h->loop, &cfg, &handler, &h->admin);
+}
+
+/* --- work from other threads --- */
+
+struct handed_worker {
+	struct fp_hosted *h;
+	uint32_t slots;
+	bool serving;
+};
+
+static void take_worker(void *ctx)
+{
+	struct handed_worker *w = ctx;
+
+	fp_directory_set_worker(w->h->directory, w->slots, w->serving);
+	free(w);
+}
+
+void fp_hosted_worker(struct fp_hosted *h, const struct fp_worker *w)
+{
+	struct handed_worker *copy = malloc(sizeof(*copy));
+
+	if (!copy)
+		abort();
+	*copy = (struct handed_worker){ h, w->slots, w->serving };
+	fp_loop_post(h->loop, take_worker, copy);
+}
+
+static void begin_stop(void *ctx)
+{
+	struct fp_hosted *h = ctx;
+
+	fp_log(FP_LOG_INFO, "stopping", "node=%s", h->settings->name);
+	fp_traffic_drain(h->traffic);
+}
+
+void fp_hosted_stop(struct fp_hosted *h, void (*stopped)(void *ctx), void *ctx)
+{
+	h->stopped = stopped;
+	h->stopped_ctx = ctx;
+	fp_loop_post(h->loop, begin_stop, h);
+}
+
+static void take_drained(void *ctx)
+{
+	struct fp_hosted *h = ctx;
+
+	fp_directory_leave(h->directory);
+	h->stopped(h->stopped_ctx);
+}
+
+void fp_hosted_drained(struct fp_hosted *h)
+{
+	fp_loop_post(h->loop, take_drained, h);
+}
+
+/* --- life --- */
+
+static void describe_self(const struct fp_settings *s, uint64_t id,
+			  struct fp_member *m)
+{
+	m->id = id;
+	memcpy(m->name, s->name, sizeof(m->name));
+	memcpy(m->failure_domain, s->failure_domain, sizeof(m->failure_domain));
+	memcpy(m->region, s->region, sizeof(m->region));
+	memcpy(m->service, s->service, sizeof(m->service));
+	snprintf(m->peer_addr, sizeof(m->peer_addr), "%.15s:%u", s->address,
+		 s->peer_port);
+}
+
+static enum fp_status open_all(struct fp_hosted *h, const struct fp_platform *p,
+			       uint64_t id, struct fp_clock *clock)
+{
+	const struct fp_settings *s = h->settings;
+	struct fp_directory_ops ops = { .config = on_config,
+					.members = on_members,
+					.secret = on_secret,
+					.current = on_current,
+					.ctx = h };
+	struct fp_directory_config cfg = { .clock = clock,
+					   .dialect = p->dialect,
+					   .counters = h->counters };
+	enum fp_status st = fp_loop_init(clock, &h->loop);
+
+	if (st == FP_OK)
+		st = p->registry_init(h->loop, s->store_url,
+				      s->store_timeout_ms * FP_US_PER_MS,
+				      h->counters, &h->registry);
+	if (st == FP_OK)
+		st = open_admin(h);
+	if (st != FP_OK)
+		return st;
+	cfg.registry = h->registry;
+	describe_self(s, id, &cfg.self);
+	h->directory = fp_directory_init(h->loop, &cfg, &ops);
+	return h->directory ? FP_OK : fp_fail(FP_NOMEM, "out of memory");
+}
+
+enum fp_status fp_hosted_init(const struct fp_settings *s,
+			      const struct fp_platform *p, uint64_t node_id,
+			      struct fp_clock *clock, struct fp_counters *cs,
+			      struct fp_hosted **out)
+{
+	struct fp_hosted *h = calloc(1, sizeof(*h));
+	enum fp_status st;
+
+	if (!h || apr_pool_create(&h->pool, NULL) != APR_SUCCESS) {
+		free(h);
+		return fp_fail(FP_NOMEM, "out of memory");
+	}
+	h->settings = s;
+	h->counters = cs;
+	st = open_all(h, p, node_id, clock);
+	if (st != FP_OK) {
+		fp_hosted_end(h);
+		return st;
+	}
+	*out = h;
+	return FP_OK;
+}
+
+void fp_hosted_set_traffic(struct fp_hosted *h, struct fp_traffic *t)
+{
+	h->traffic = t;
+}
+
+static void *APR_THREAD_FUNC control_thread(apr_thread_t *thread, void *ctx)
+{
+	struct fp_hosted *h = ctx;
+
+	(void)thread;
+	fp_loop_run(h->loop);
+	return NULL;
+}
+
+enum fp_status fp_hosted_start(struct fp_hosted *h)
+{
+	if (apr_thread_create(&h->thread, NULL, control_thread, h, h->pool) !=
+	    APR_SUCCESS)
+		return fp_fail(FP_IO, "cannot start the control thread");
+	return FP_OK;
+}
+
+void fp_hosted_halt(struct fp_hosted *h)
+{
+	apr_status_t rv;
+
+	if (!h || !h->thread)
+		return;
+	fp_loop_stop(h->loop);
+	apr_thread_join(&rv, h->thread);
+	h->thread = NULL;
+}
+
+void fp_hosted_end(struct fp_hosted *h)
+{
+	if (!h)
+		return;
+	fp_hosted_halt(h);
+	fp_http_server_end(h->admin);
+	fp_directory_close(h->directory);
+	if (h->registry)
+		h->registry->ops->end(h->registry);
+	fp_directory_end(h->directory);
+	fp_loop_end(h->loop);
+	apr_pool_destroy(h->pool);
+	free(h);
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -20,6 +20,7 @@
 #include "base/counters.h"
 #include "base/log.h"
 #include "node/control.h"
+#include "node/hosted.h"
 #include "node/traffic.h"
 
 #define ID_RANDOM_BITS 20 /* of a process id, below its time */
@@ -28,7 +29,8 @@
 struct node {
 	struct fp_settings settings;
 	struct fp_counters *counters;
-	struct fp_control *control;
+	struct fp_control *control; /* this or hosted */
+	struct fp_hosted *hosted;
 	struct fp_traffic *traffic;
 };
 
@@ -36,14 +38,20 @@
 {
 	struct node *n = ctx;
 
-	fp_control_worker(n->control, w);
+	if (n->hosted)
+		fp_hosted_worker(n->hosted, w);
+	else
+		fp_control_worker(n->control, w);
 }
 
 static void on_drained(void *ctx)
 {
 	struct node *n = ctx;
 
-	fp_control_drained(n->control);
+	if (n->hosted)
+		fp_hosted_drained(n->hosted);
+	else
+		fp_control_drained(n->control);
 }
 
 static void on_to_slice(void *ctx, uint32_t slice, const void *data,
@@ -51,14 +59,16 @@
 {
 	struct node *n = ctx;
 
-	fp_control_to_slice(n->control, slice, data, bytes);
+	if (n->control)
+		fp_control_to_slice(n->control, slice, data, bytes);
 }
 
 static void on_crash(void *ctx, uint64_t fingerprint, uint64_t crash_id)
 {
 	struct node *n = ctx;
 
-	fp_control_crash(n->control, fingerprint, crash_id);
+	if (n->control)
+		fp_control_crash(n->control, fingerprint, crash_id);
 }
 
 /*
@@ -73,8 +83,9 @@
 	       randombytes_uniform(1u << ID_RANDOM_BITS);
 }
 
-static enum fp_status start(struct node *n)
+static enum fp_status start(struct node *n, const struct fp_platform *p)
 {
+	bool hosted = n->settings.store_kind == FP_STORE_LEASES;
 	struct fp_clock *clock = fp_system_clock();
 	struct fp_traffic_hooks hooks = { .worker = on_worker,
 					  .drained = on_drained,
@@ -85,16 +96,26 @@
 	uint64_t id;
 
 	id = new_id(clock);
-	st = fp_control_init(&n->settings, id, clock, n->counters, &n->control);
+	if (hosted)
+		st = fp_hosted_init(&n->settings, p, id, clock, n->counters,
+				    &n->hosted);
+	else
+		st = fp_control_init(&n->settings, id, clock, n->counters,
+				     &n->control);
 	if (st == FP_OK)
-		st = fp_traffic_init(&n->settings, id, clock, n->counters,
-				     &hooks, &n->traffic);
+		st = fp_traffic_init(&n->settings,
+				     hosted ? p->dialect : &fp_dialect_own, id,
+				     clock, n->counters, &hooks, &n->traffic);
 	if (st != FP_OK)
 		return st;
-	fp_control_set_traffic(n->control, n->traffic);
+	if (hosted)
+		fp_hosted_set_traffic(n->hosted, n->traffic);
+	else
+		fp_control_set_traffic(n->control, n->traffic);
 	st = fp_traffic_start(n->traffic);
 	if (st == FP_OK)
-		st = fp_control_start(n->control);
+		st = hosted ? fp_hosted_start(n->hosted) :
+			      fp_control_start(n->control);
 	if (st == FP_OK)
 		fp_log(FP_LOG_INFO, "started",
 		       "node=%s id=%016" PRIx64 " service=%s domain=%s",
@@ -120,8 +141,10 @@
 		       fp_last_message());
 		return;
 	}
-	fp_traffic_set_secrets(n->traffic, &s);
-	fp_control_set_secrets(n->control, &s);
+	if (n->control) {
+		fp_traffic_set_secrets(n->traffic, &s);
+		fp_control_set_secrets(n->control, &s);
+	}
 	fp_log(FP_LOG_INFO, "reloaded", "secrets=%u", s.n_secrets);
 	sodium_memzero(&s, sizeof(s));
 }
@@ -141,12 +164,16 @@
 			reload_secrets(n, path);
 		if ((sig == SIGTERM || sig == SIGINT) && !stopping) {
 			stopping = true;
-			fp_control_stop(n->control, on_stopped, &self);
+			if (n->hosted)
+				fp_hosted_stop(n->hosted, on_stopped, &self);
+			else
+				fp_control_stop(n->control, on_stopped, &self);
 		}
 	}
 }
 
-int fp_node_main(const struct fp_settings *s, const char *settings_path)
+int fp_node_main(const struct fp_settings *s, const char *settings_path,
+		 const struct fp_platform *p)
 {
 	struct node n = { .settings = *s };
 	sigset_t set;
@@ -166,7 +193,7 @@
 	}
 	fp_log_setup((enum fp_log_level)s->log_level, NULL);
 	n.counters = fp_counters_init();
-	if (start(&n) == FP_OK) {
+	if (start(&n, p) == FP_OK) {
 		wait_for_end(&n, &set, settings_path);
 		fp_log(FP_LOG_INFO, "stopped", "node=%s", n.settings.name);
 	} else {
@@ -177,7 +204,9 @@
 	/* Each thread posts to the other: both stop before either is freed. */
 	fp_traffic_halt(n.traffic);
 	fp_control_halt(n.control);
+	fp_hosted_halt(n.hosted);
 	fp_control_end(n.control);
+	fp_hosted_end(n.hosted);
 	fp_traffic_end(n.traffic);
 	fp_counters_end(n.counters);
 	curl_global_cleanup();
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -13,19 +13,21 @@
 #include "node/call.h"
 #include "protocol/msg_shared.h"
 #include "state/grants.h"
+#include "state/share.h"
 #include "state/slice_map.h"
 
 #define ASK_TIMEOUT_US	 (100 * FP_US_PER_MS)
 #define NO_OWNER_WAIT_US FP_US_PER_S
 #define ASK_AGAIN_US	 (20 * FP_US_PER_MS)
 #define MAX_WAITING	 1024u
-#define RETRY_AFTER_S	 1u
+#define RETRY_AFTER_US	 FP_US_PER_S
 
 /** One organisation's tokens and the calls that wait for one. */
 struct org_tokens {
 	char org[FP_NAME_BYTES];
 	struct fp_traffic *t;
 	struct fp_grants *grants;
+	struct fp_share share; /* instead of grants, where no bucket is owned */
 	struct org_tokens *next; /* of all organisations */
 	struct call *first; /* waiting, oldest first */
 	struct call *last;
@@ -49,6 +51,13 @@
 
 	if (i < 0)
 		return;
+	if (o->t->hosted) {
+		fp_share_set(&o->share, cfg->orgs[i].rate_per_s,
+			     cfg->orgs[i].burst,
+			     o->t->members ? o->t->members->n : 1,
+			     fresh_now_us(o->t));
+		return;
+	}
 	if (cfg->n_presets)
 		percent = cfg->presets[cfg->active_preset].rate_percent;
 	fp_grants_set_rate(o->grants, cfg->orgs[i].rate_per_s * percent / 100,
@@ -166,6 +175,8 @@
 	struct org_tokens *o = find(c->t, c->msg.org);
 	int64_t now_us = fresh_now_us(c->t);
 
+	if (c->t->hosted)
+		return fp_share_take(&o->share, now_us);
 	fp_grants_demand(o->grants, now_us);
 	if (!o->first && fp_grants_take(o->grants, now_us) == FP_OK) {
 		ask(o, now_us);
@@ -183,7 +194,7 @@
 	tokens_forget(c);
 	call_refuse(c, FP_OUTCOME_NOT_RUN,
 		    o->exhausted ? FP_REASON_OVER_RATE : FP_REASON_NO_TOKENS,
-		    RETRY_AFTER_S);
+		    RETRY_AFTER_US);
 }
 
 /* Refuses those that would wait in vain until wait_us from now. */
@@ -235,7 +246,7 @@
 	int64_t now_us = fresh_now_us(t);
 	struct org_tokens *o;
 
-	for (o = t->all_tokens; o; o = o->next) {
+	for (o = t->hosted ? NULL : t->all_tokens; o; o = o->next) {
 		if (o->ask_id && now_us - o->asked_us > ASK_TIMEOUT_US) {
 			close_ask(o);
 			o->exhausted = false;
@@ -255,6 +266,12 @@
 		set_rate(o);
 }
 
+void tokens_members(struct fp_traffic *t)
+{
+	if (t->hosted)
+		tokens_config(t);
+}
+
 void tokens_init(struct fp_traffic *t)
 {
 	t->tokens = apr_hash_make(t->pool);
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -7,6 +7,7 @@
 #include "node/traffic.h"
 
 #include <sodium.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,6 +23,8 @@
 #define FRAME_EXTRA_BYTES   (256u << 10)
 #define MAX_IDLE_BACKEND    512
 #define LOCAL_HEADER_FACTOR 2
+/* One asker a second; a few more by hand. */
+#define MAX_READY_CONNECTIONS 16u
 
 uint64_t traffic_draw(void)
 {
@@ -52,11 +55,33 @@
 static void on_local(void *ctx, struct fp_http_exchange *x,
 		     const struct fp_http_request *r)
 {
-	if (strcmp(r->method, "POST") == 0 &&
-	    strcmp(r->uri, "/fulmar/announce") == 0)
-		worker_announce(ctx, x, r);
+	struct fp_traffic *t = ctx;
+
+	if (worker_announce(t, x, r) != FP_NOT_FOUND)
+		return;
+	if (t->dialect->call)
+		call_from_worker(t, x, r);
 	else
-		call_from_worker(ctx, x, r);
+		answer_refuse(t, x, FP_CLASS_NORMAL, FP_OUTCOME_NOT_RUN,
+			      FP_REASON_ROUTE_UNKNOWN, 0);
+}
+
+/* Whether callers had better come here. */
+static bool is_ready(const struct fp_traffic *t)
+{
+	return !t->draining && t->config && t->members && t->has_secret;
+}
+
+static void on_ready(void *ctx, struct fp_http_exchange *x,
+		     const struct fp_http_request *r)
+{
+	struct fp_traffic *t = ctx;
+	const char *path = t->dialect->ready_path;
+	int status = is_ready(t) ? 200 : 503;
+
+	if (!path || strcmp(r->uri, path) != 0)
+		status = 404;
+	fp_http_reply(x, status, NULL, 0, "", 0);
 }
 
 static void on_gone(void *ctx, struct fp_http_exchange *x)
@@ -132,7 +157,15 @@
 	cfg.port = s->local_port;
 	cfg.max_header_bytes *= LOCAL_HEADER_FACTOR;
 	h.request = on_local;
-	return fp_http_server_init(t->loop, &cfg, &h, &t->local);
+	st = fp_http_server_init(t->loop, &cfg, &h, &t->local);
+	if (st != FP_OK || !s->ready_port)
+		return st;
+	cfg.address = s->address;
+	cfg.port = s->ready_port;
+	cfg.max_connections = MAX_READY_CONNECTIONS;
+	h.request = on_ready;
+	h.gone = NULL;
+	return fp_http_server_init(t->loop, &cfg, &h, &t->ready);
 }
 
 static enum fp_status open_peers(struct fp_traffic *t)
@@ -231,6 +264,7 @@
 	free(old);
 	for (i = 0; i < t->members->n; i++)
 		put_worker(t, &t->members->members[i], fp_loop_now_us(t->loop));
+	tokens_members(t);
 }
 
 /* Bytes handed over. */
@@ -329,6 +363,7 @@
 	struct fp_settings *s = h->value;
 
 	fp_peer_set_secrets(h->t->peers, s->secrets, s->n_secrets);
+	h->t->has_secret = s->n_secrets > 0;
 	sodium_memzero(s, sizeof(*s));
 	free(s);
 	free(h);
@@ -358,6 +393,11 @@
 	post(t, take_members, m);
 }
 
+void fp_traffic_set_current(struct fp_traffic *t, int64_t asked_us)
+{
+	atomic_store(&t->current_us, asked_us);
+}
+
 void fp_traffic_set_secrets(struct fp_traffic *t, const struct fp_settings *s)
 {
 	struct fp_settings *copy = malloc(sizeof(*copy));
@@ -429,8 +469,10 @@
 	t->n.total_us = fp_histogram_get(cs, "fulmar_total_us", "");
 }
 
-enum fp_status fp_traffic_init(const struct fp_settings *s, uint64_t node_id,
-			       struct fp_clock *clock, struct fp_counters *cs,
+enum fp_status fp_traffic_init(const struct fp_settings *s,
+			       const struct fp_dialect *dialect,
+			       uint64_t node_id, struct fp_clock *clock,
+			       struct fp_counters *cs,
 			       const struct fp_traffic_hooks *hooks,
 			       struct fp_traffic **out)
 {
@@ -442,6 +484,9 @@
 		return fp_fail(FP_NOMEM, "out of memory");
 	}
 	t->settings = s;
+	t->dialect = dialect;
+	t->hosted = s->store_kind == FP_STORE_LEASES;
+	t->has_secret = s->n_secrets > 0;
 	t->node_id = node_id;
 	t->counters = cs;
 	t->hooks = *hooks;
@@ -510,6 +555,7 @@
 	fp_http_client_end(t->client);
 	fp_http_server_end(t->callers);
 	fp_http_server_end(t->local);
+	fp_http_server_end(t->ready);
 	fp_config_end(t->config);
 	free(t->members);
 	fp_choice_end(t->choice);
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -15,6 +15,7 @@
 #include "base/counters.h"
 #include "base/status.h"
 #include "coordination/member.h"
+#include "protocol/dialect.h"
 #include "protocol/settings.h"
 #include "state/config.h"
 
@@ -29,6 +30,8 @@
 	uint16_t port;
 	uint32_t slots;
 	char instance[FP_NAME_BYTES]; /**< new at each of its starts */
+	int64_t born_ms; /**< its start, Unix milliseconds; 0: not said */
+	uint64_t sequence; /**< of its last announcement, if it has one */
 	bool serving; /**< announced, not leaving, not silent */
 };
 
@@ -51,8 +54,10 @@
 };
 
 /** Opens the listeners; nothing is taken before fp_traffic_start. */
-enum fp_status fp_traffic_init(const struct fp_settings *s, uint64_t node_id,
-			       struct fp_clock *clock, struct fp_counters *cs,
+enum fp_status fp_traffic_init(const struct fp_settings *s,
+			       const struct fp_dialect *dialect,
+			       uint64_t node_id, struct fp_clock *clock,
+			       struct fp_counters *cs,
 			       const struct fp_traffic_hooks *hooks,
 			       struct fp_traffic **out);
 /** Starts the thread. */
@@ -70,6 +75,12 @@
 		      uint64_t crash_id);
 /** Whether this node is cut off and must not trust its keys; any thread. */
 void fp_traffic_set_isolated(struct fp_traffic *t, bool isolated);
+/**
+ * The operators' record in force here was the newest one at asked_us; any
+ * thread. From the first call on, keyed requests are taken only while the last
+ * one is younger than the settings' revoke time less a margin.
+ */
+void fp_traffic_set_current(struct fp_traffic *t, int64_t asked_us);
 /** Replaces the fleet's secrets; any thread. */
 void fp_traffic_set_secrets(struct fp_traffic *t, const struct fp_settings *s);
 /**
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -7,6 +7,7 @@
 #include <apr_thread_proc.h>
 
 #include "node/traffic.h"
+#include "protocol/dialect.h"
 #include "protocol/msg_call.h"
 #include "state/attempts.h"
 #include "state/choice.h"
@@ -53,6 +54,8 @@
 
 struct fp_traffic {
 	const struct fp_settings *settings;
+	const struct fp_dialect *dialect;
+	bool hosted; /* the store holds members and the operators' record */
 	uint64_t node_id;
 	struct fp_counters *counters;
 	struct traffic_counters n;
@@ -62,6 +65,7 @@
 	apr_thread_t *thread;
 	struct fp_http_server *callers; /* towards callers */
 	struct fp_http_server *local; /* towards the backend server */
+	struct fp_http_server *ready; /* says whether callers are taken */
 	struct fp_http_client *client; /* to the backend server */
 	struct fp_peer_net *peers;
 	struct fp_config *config; /* NULL before the first */
@@ -93,7 +97,10 @@
 	struct fp_slo *slo; /* service levels of roots */
 	struct fp_recovery recovery; /* of all roots together */
 	bool worker_left; /* it announced that it is leaving */
+	bool worker_gone; /* it has said farewell */
+	bool has_secret; /* links to others can be made */
 	bool isolated; /* cut off: keys cannot be trusted */
+	_Atomic int64_t current_us; /* the record was current; 0: not told */
 	struct fp_clock *clock;
 	struct fp_worker worker;
 	int64_t announced_us; /* last announcement */
@@ -111,17 +118,17 @@
 
 /* --- answer.c --- */
 
-/** Refuses an exchange; retry_after_s 0: no such header. */
+/** Refuses an exchange; retry_after_us 0: no such header. */
 void answer_refuse(struct fp_traffic *t, struct fp_http_exchange *x,
 		   enum fp_class cls, enum fp_outcome outcome,
-		   enum fp_reason reason, uint32_t retry_after_s);
+		   enum fp_reason reason, int64_t retry_after_us);
 
 /** Passes a backend server's whole answer on. */
 void answer_pass(struct fp_traffic *t, struct fp_http_exchange *x,
 		 enum fp_class cls, const struct fp_msg_reply *r);
 
 /** Tells whether a header is passed on in either direction. */
-bool answer_header_passes(const char *name);
+bool answer_header_passes(const struct fp_traffic *t, const char *name);
 
 /* --- call.c: calls that this node sends to workers --- */
 
@@ -151,6 +158,8 @@
 		  uint64_t crash_id);
 void limits_end(struct fp_traffic *t);
 
+/** The number of nodes changed: each has its part of rates and bursts. */
+void tokens_members(struct fp_traffic *t);
 void tokens_init(struct fp_traffic *t);
 void tokens_config(struct fp_traffic *t);
 void tokens_tick(struct fp_traffic *t);
@@ -208,9 +217,9 @@
 void execution_touched(struct execution *e, const struct fp_touch *touched,
 		       uint32_t n);
 
-/** An announcement of the backend server. */
-void worker_announce(struct fp_traffic *t, struct fp_http_exchange *x,
-		     const struct fp_http_request *r);
+/** Takes an announcement of the backend server; FP_NOT_FOUND: it is none. */
+enum fp_status worker_announce(struct fp_traffic *t, struct fp_http_exchange *x,
+			       const struct fp_http_request *r);
 /** An execution of that root was cut off, or found no worker. */
 void worker_lost_call(struct fp_traffic *t, uint64_t fingerprint);
 /** Notices a worker that has fallen silent. */
--- a/src/node/worker.c
+++ b/src/node/worker.c
@@ -5,7 +5,7 @@
  * that the old one crashed. What was cut off in the seconds before was in
  * flight at the crash, and is reported to the whole fleet.
  */
-#include <jansson.h>
+#include <inttypes.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -15,50 +15,27 @@
 #define SILENCE_US (3 * FP_US_PER_S)
 /* How long before a new instance a lost call counts as of the crash. */
 #define CRASH_WINDOW_US (10 * FP_US_PER_S)
-#define MAX_SLOTS	100000
-
-static bool parse_announcement(const struct fp_http_request *r,
-			       struct fp_worker *w)
-{
-	json_t *j = json_loadb((const char *)r->body, r->body_bytes, 0, NULL);
-	const char *instance =
-		json_string_value(json_object_get(j, "instance"));
-	const char *state = json_string_value(json_object_get(j, "state"));
-	json_int_t port = json_integer_value(json_object_get(j, "port"));
-	json_int_t slots = json_integer_value(json_object_get(j, "slots"));
-	bool ok = instance && state && port > 0 && port <= UINT16_MAX &&
-		  slots > 0 && slots <= MAX_SLOTS &&
-		  strlen(instance) < sizeof(w->instance) &&
-		  (strcmp(state, "serving") == 0 ||
-		   strcmp(state, "leaving") == 0);
-
-	memset(w, 0, sizeof(*w));
-	if (ok) {
-		w->port = (uint16_t)port;
-		w->slots = (uint32_t)slots;
-		w->serving = strcmp(state, "serving") == 0;
-		strncpy(w->instance, instance, sizeof(w->instance) - 1);
-	}
-	json_decref(j);
-	return ok;
-}
 
 static bool same_worker(const struct fp_worker *a, const struct fp_worker *b)
 {
 	return a->port == b->port && a->slots == b->slots &&
-	       a->serving == b->serving &&
+	       a->serving == b->serving && a->born_ms == b->born_ms &&
 	       strcmp(a->instance, b->instance) == 0;
 }
 
 static void set_worker(struct fp_traffic *t, const struct fp_worker *w)
 {
-	if (same_worker(&t->worker, w))
-		return;
+	bool same = same_worker(&t->worker, w);
+
 	t->worker = *w;
+	if (same)
+		return;
 	execution_set_params(t);
 	fp_log(FP_LOG_INFO, "worker_state",
-	       "service=%s port=%u slots=%u serving=%d", t->settings->service,
-	       w->port, w->slots, w->serving);
+	       "service=%s port=%u slots=%u serving=%d instance=%s "
+	       "born_ms=%" PRId64 " sequence=%" PRIu64,
+	       t->settings->service, w->port, w->slots, w->serving, w->instance,
+	       w->born_ms, w->sequence);
 	t->hooks.worker(t->hooks.ctx, &t->worker);
 }
 
@@ -91,32 +68,99 @@
 	       t->settings->service, n);
 }
 
-static bool crashed(const struct fp_traffic *t, const struct fp_worker *w)
+/* Another start of the server than the one that is known. */
+static bool is_other(const struct fp_worker *w, const struct fp_announcement *a)
+{
+	return strcmp(w->instance, a->instance) != 0 ||
+	       (a->born_ms && w->born_ms != a->born_ms);
+}
+
+static bool crashed(const struct fp_traffic *t, const struct fp_announcement *a)
 {
 	return t->worker.instance[0] && !t->worker_left &&
-	       strcmp(t->worker.instance, w->instance) != 0;
+	       is_other(&t->worker, a);
+}
+
+/*
+ * An announcement may come late: behind one of a later start, or behind a later
+ * one of the same start. A server that has said farewell does not come back as
+ * the same start.
+ */
+static bool is_late(const struct fp_traffic *t, const struct fp_announcement *a)
+{
+	const struct fp_worker *w = &t->worker;
+
+	if (!w->instance[0])
+		return false;
+	if (a->born_ms && w->born_ms && a->born_ms != w->born_ms)
+		return a->born_ms < w->born_ms;
+	if (is_other(w, a))
+		return a->farewell;
+	if (a->farewell)
+		return false;
+	return t->worker_gone || (a->ordered && a->sequence <= w->sequence);
 }
 
-void worker_announce(struct fp_traffic *t, struct fp_http_exchange *x,
-		     const struct fp_http_request *r)
+/* Whether it speaks of the server beside this node. */
+static bool is_of_this_vm(const struct fp_traffic *t,
+			  const struct fp_announcement *a)
+{
+	const struct fp_settings *s = t->settings;
+
+	if (a->farewell)
+		return true;
+	if (a->service[0] && strcmp(a->service, s->service) != 0)
+		return false;
+	return !a->address[0] || !s->backend_address[0] ||
+	       strcmp(a->address, s->backend_address) == 0;
+}
+
+static void take(struct fp_traffic *t, const struct fp_announcement *a)
+{
+	struct fp_worker w = { .port = a->port,
+			       .slots = a->slots,
+			       .serving = a->serving && !t->draining,
+			       .born_ms = a->born_ms,
+			       .sequence = a->sequence };
+
+	t->announced_us = fp_loop_now_us(t->loop);
+	memcpy(w.instance, a->instance, sizeof(w.instance));
+	if (a->farewell) {
+		w = t->worker;
+		w.serving = false;
+	} else if (crashed(t, a)) {
+		report_crash(t, t->worker.instance);
+	}
+	t->worker_left = a->farewell || !a->serving;
+	t->worker_gone = a->farewell;
+	set_worker(t, &w);
+}
+
+enum fp_status worker_announce(struct fp_traffic *t, struct fp_http_exchange *x,
+			       const struct fp_http_request *r)
 {
 	static const struct fp_http_header type = { "Content-Type",
 						    "application/json" };
-	struct fp_worker w;
-
-	if (!parse_announcement(r, &w)) {
+	struct fp_announcement a;
+	enum fp_status st;
+
+	st = t->dialect->announcement(r->method, r->uri, r->body, r->body_bytes,
+				      &a);
+	if (st == FP_NOT_FOUND)
+		return st;
+	if (st == FP_OK && !is_of_this_vm(t, &a))
+		st = fp_fail(FP_INVALID, "announcement: of another VM");
+	if (st != FP_OK) {
+		fp_log(FP_LOG_WARN, "announcement_refused", "why=\"%s\"",
+		       fp_last_message());
 		answer_refuse(t, x, FP_CLASS_NORMAL, FP_OUTCOME_NOT_RUN,
 			      FP_REASON_MALFORMED, 0);
-		return;
+		return FP_OK;
 	}
-	t->announced_us = fp_loop_now_us(t->loop);
-	if (crashed(t, &w))
-		report_crash(t, t->worker.instance);
-	t->worker_left = !w.serving;
-	if (t->draining)
-		w.serving = false;
-	set_worker(t, &w);
+	if (!is_late(t, &a))
+		take(t, &a);
 	fp_http_reply(x, 200, &type, 1, "{}", 2);
+	return FP_OK;
 }
 
 void worker_tick(struct fp_traffic *t, int64_t now_us)
--- /dev/null
+++ b/src/protocol/dialect.c
@@ -0,0 +1,57 @@
+/* dialect.c - the product's own names of headers and announcements */
+#include "protocol/dialect.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define MAX_SLOTS 100000
+
+static enum fp_status read_fields(json_t *j, struct fp_announcement *out)
+{
+	const char *instance =
+		json_string_value(json_object_get(j, "instance"));
+	const char *state = json_string_value(json_object_get(j, "state"));
+	json_int_t port = json_integer_value(json_object_get(j, "port"));
+	json_int_t slots = json_integer_value(json_object_get(j, "slots"));
+
+	if (!instance || strlen(instance) >= sizeof(out->instance))
+		return fp_fail(FP_INVALID, "announcement: instance");
+	if (!state || (strcmp(state, "serving") && strcmp(state, "leaving")))
+		return fp_fail(FP_INVALID, "announcement: state");
+	if (port <= 0 || port > UINT16_MAX || slots <= 0 || slots > MAX_SLOTS)
+		return fp_fail(FP_INVALID, "announcement: port or slots");
+	out->port = (uint16_t)port;
+	out->slots = (uint32_t)slots;
+	out->serving = strcmp(state, "serving") == 0;
+	strncpy(out->instance, instance, sizeof(out->instance) - 1);
+	return FP_OK;
+}
+
+static enum fp_status read_announcement(const char *method, const char *uri,
+					const uint8_t *body, size_t bytes,
+					struct fp_announcement *out)
+{
+	enum fp_status st;
+	json_t *j;
+
+	memset(out, 0, sizeof(*out));
+	if (strcmp(method, "POST") != 0 || strcmp(uri, "/fulmar/announce") != 0)
+		return FP_NOT_FOUND;
+	j = json_loadb((const char *)body, bytes, 0, NULL);
+	st = read_fields(j, out);
+	json_decref(j);
+	return st;
+}
+
+const struct fp_dialect fp_dialect_own = {
+	.deadline_ms = "Fulmar-Deadline-Ms",
+	.call = "Fulmar-Call",
+	.root = "Fulmar-Request",
+	.org = "Fulmar-Org",
+	.cls = "Fulmar-Class",
+	.not_run = "Fulmar-Not-Run",
+	.outcome = "Fulmar-Outcome",
+	.reason = "Fulmar-Reason",
+	.cancel_path = "/fulmar/cancel",
+	.announcement = read_announcement,
+};
--- a/src/protocol/field.c
+++ b/src/protocol/field.c
@@ -7,10 +7,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "state/types.h"
 
 /** Longest part of a wrong text that a message repeats, characters. */
 #define SHOWN_CHARS 40
+#define MAX_SPAN    1e9 /* of either unit; keeps microseconds in range */
+#define MAX_SHARE   1000.0
 
 #define DIGITS "0123456789"
 
@@ -97,6 +100,16 @@
 	case FP_FIELD_WORD:
 		print_words(f, out, room);
 		break;
+	case FP_FIELD_PORT:
+		snprintf(out, room, "integer %lld to %lld, or IP:PORT",
+			 (long long)f->min, (long long)f->max);
+		break;
+	case FP_FIELD_SPAN:
+		snprintf(out, room, "a time such as \"1500ms\" or \"2.5s\"");
+		break;
+	case FP_FIELD_SHARE:
+		snprintf(out, room, "a share such as \"0.2\", at most 1000");
+		break;
 	case FP_FIELD_TEXTS:
 	case FP_FIELD_HEXES:
 		snprintf(out, room, "list of %lld to %lld texts, each %s",
@@ -218,10 +231,67 @@
 	return refuse(f, v, why);
 }
 
+bool fp_span_parse(const char *text, int64_t *us)
+{
+	char *end;
+	double n = strtod(text, &end);
+	double unit_us;
+
+	if (end == text || !(n >= 0) || n > MAX_SPAN)
+		return false;
+	if (strcmp(end, "ms") == 0)
+		unit_us = (double)FP_US_PER_MS;
+	else if (strcmp(end, "s") == 0)
+		unit_us = (double)FP_US_PER_S;
+	else
+		return false;
+	*us = (int64_t)(n * unit_us);
+	return true;
+}
+
+static bool set_port(const struct fp_field *f, char *base,
+		     const struct fp_value *v, char why[FP_WHY_BYTES])
+{
+	int64_t port = v->integer;
+
+	if (v->type == FP_VALUE_TEXT && fp_ip_port_valid(v->text))
+		port = strtoll(strrchr(v->text, ':') + 1, NULL, 10);
+	else if (v->type != FP_VALUE_INTEGER)
+		return refuse(f, v, why);
+	if (port < f->min || port > f->max)
+		return refuse(f, v, why);
+	store_integer(base + f->offset, f->size, port);
+	return true;
+}
+
+static bool set_span(const struct fp_field *f, char *base,
+		     const struct fp_value *v, char why[FP_WHY_BYTES])
+{
+	int64_t us;
+
+	if (!fp_span_parse(v->text, &us))
+		return refuse(f, v, why);
+	memcpy(base + f->offset, &us, sizeof(us));
+	return true;
+}
+
+static bool set_share(const struct fp_field *f, char *base,
+		      const struct fp_value *v, char why[FP_WHY_BYTES])
+{
+	char *end;
+	double n = strtod(v->text, &end);
+
+	if (end == v->text || *end || !(n >= 0) || n > MAX_SHARE)
+		return refuse(f, v, why);
+	store_integer(base + f->offset, f->size, (int64_t)(n * 1000 + 0.5));
+	return true;
+}
+
 static enum fp_value_type type_of(enum fp_field_kind kind)
 {
 	switch (kind) {
 	case FP_FIELD_UINT:
+	case FP_FIELD_PORT:
 		return FP_VALUE_INTEGER;
 	case FP_FIELD_BOOL:
 		return FP_VALUE_BOOLEAN;
@@ -250,6 +320,12 @@
 	case FP_FIELD_TEXTS:
 	case FP_FIELD_HEXES:
 		return set_list(f, base, v, why);
+	case FP_FIELD_PORT:
+		return set_port(f, base, v, why);
+	case FP_FIELD_SPAN:
+		return set_span(f, base, v, why);
+	case FP_FIELD_SHARE:
+		return set_share(f, base, v, why);
 	default:
 		if (!text_fits(f, v->text) ||
 		    !store_text(f, base + f->offset, v->text))
@@ -263,7 +339,9 @@
 {
 	static const bool yes = true;
 
-	if (v->type != type_of(f->kind))
+	/* A port may be written in two ways. */
+	if (v->type != type_of(f->kind) &&
+	    !(f->kind == FP_FIELD_PORT && v->type == FP_VALUE_TEXT))
 		return refuse(f, v, why);
 	if (!set_one(f, base, v, why))
 		return false;
@@ -319,6 +397,8 @@
 		sodium_bin2hex(out, room, (const unsigned char *)from, f->size);
 		break;
 	case FP_FIELD_UINT:
+	case FP_FIELD_PORT:
+	case FP_FIELD_SHARE:
 		n = fp_field_integer(f, base);
 		snprintf(out, room, "%lld", (long long)n);
 		break;
@@ -330,6 +410,10 @@
 		n = fp_field_integer(f, base);
 		snprintf(out, room, "%s", f->words[n]);
 		break;
+	case FP_FIELD_SPAN:
+		memcpy(&n, from, sizeof(n));
+		snprintf(out, room, "%lldms", (long long)(n / FP_US_PER_MS));
+		break;
 	default:
 		snprintf(out, room, "%s", from);
 		break;
--- a/src/protocol/field.h
+++ b/src/protocol/field.h
@@ -45,6 +45,9 @@
 	FP_FIELD_WORD, /**< index into words, of size bytes: 1 or 4 */
 	FP_FIELD_TEXTS, /**< array of char[size] */
 	FP_FIELD_HEXES, /**< array of uint8_t[size] */
+	FP_FIELD_PORT, /**< uint16_t; a number, or the port of "IP:PORT" */
+	FP_FIELD_SPAN, /**< int64_t microseconds; "1500ms", "2.5s" */
+	FP_FIELD_SHARE, /**< uint32_t thousandths; "0.2" */
 };
 
 /** One member of a struct. */
@@ -91,6 +94,13 @@
 /** Writes what a field expects, e.g. "integer 1 to 65535". */
 void fp_field_expected(const struct fp_field *f, char *out, size_t room);
 
+/**
+ * Reads a time with its unit, "1500ms" or "2.5s".
+ *
+ * @return true with *us set to microseconds, rounded down
+ */
+bool fp_span_parse(const char *text, int64_t *us);
+
 /** True for 1 to FP_NAME_BYTES - 1 characters of [a-z0-9._-]. */
 bool fp_name_valid(const char *text);
 
--- a/src/protocol/msg_call.c
+++ b/src/protocol/msg_call.c
@@ -3,8 +3,9 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
-#define CALL_FIELDS   18
+#define CALL_FIELDS   19
 #define REPLY_FIELDS  11
 #define CANCEL_FIELDS 2
 #define LEVEL_FIELDS  (4 + FP_CLASS_COUNT)
@@ -13,6 +14,16 @@
 #define HEADER_NAME_BYTES  256
 #define HEADER_VALUE_BYTES 16384
 
+const char *fp_msg_header_find(const struct fp_msg_content *c, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->n_headers; i++)
+		if (strcasecmp(c->headers[i].name, name) == 0)
+			return c->headers[i].value;
+	return NULL;
+}
+
 static void put_content(msgpack_packer *pk, const struct fp_msg_content *c)
 {
 	uint32_t i;
@@ -41,6 +52,7 @@
 	fp_put_bool(&pk, m->once);
 	fp_put_text(&pk, m->route);
 	fp_put_text(&pk, m->service);
+	fp_put_text(&pk, m->caller);
 	fp_put_text(&pk, m->method);
 	fp_put_text(&pk, m->uri);
 	msgpack_pack_int64(&pk, m->left_us);
@@ -177,6 +189,7 @@
 	m->once = fp_read_bool(&r);
 	fp_read_text(&r, m->route, sizeof(m->route));
 	fp_read_text(&r, m->service, sizeof(m->service));
+	fp_read_text(&r, m->caller, sizeof(m->caller));
 	fp_read_text(&r, m->method, sizeof(m->method));
 	fp_read_text(&r, m->uri, sizeof(m->uri));
 	m->left_us = fp_read_i64(&r);
--- a/src/protocol/msg_call.h
+++ b/src/protocol/msg_call.h
@@ -53,6 +53,7 @@
 	bool once; /**< not idempotent: never sent again */
 	char route[FP_NAME_BYTES];
 	char service[FP_NAME_BYTES];
+	char caller[FP_NAME_BYTES]; /**< service of the VM where it began */
 	char method[FP_METHOD_BYTES];
 	char uri[FP_URI_BYTES];
 	int64_t left_us; /**< time left to the deadline */
@@ -81,6 +82,10 @@
 	char *texts; /**< header texts with their NULs */
 };
 
+/** Finds a header by name, in any case; NULL when it is not there. */
+const char *fp_msg_header_find(const struct fp_msg_content *c,
+			       const char *name);
+
 void fp_msg_call_encode(const struct fp_msg_call *m, msgpack_sbuffer *out);
 void fp_msg_reply_encode(const struct fp_msg_reply *m, msgpack_sbuffer *out);
 void fp_msg_cancel_encode(uint64_t corr, msgpack_sbuffer *out);
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -21,6 +21,7 @@
 }
 
 static const char *const on_off[] = { "on", "off", NULL };
+static const char *const store_kinds[] = { "plain", "leases", NULL };
 static const char *const levels[] = { "debug", "info", "warn", "error", NULL };
 
 #define AT(member)   offsetof(struct fp_settings, member)
@@ -40,6 +41,19 @@
 		.max = (to), .fallback = (fallback_), .unit = (unit_)          \
 	}
 
+#define PORT(member, from, fallback_)                                        \
+	{                                                                    \
+		.section = "listen", .name = #member, .kind = FP_FIELD_PORT, \
+		.offset = AT(member), .size = ROOM(member), .min = (from),   \
+		.max = UINT16_MAX, .fallback = (fallback_), .unit = "port"   \
+	}
+#define SPAN(section_, name_, member, fallback_)                               \
+	{                                                                      \
+		.section = (section_), .name = (name_), .kind = FP_FIELD_SPAN, \
+		.offset = AT(member), .size = ROOM(member),                    \
+		.fallback = (fallback_), .unit = "time"                        \
+	}
+
 const struct fp_field fp_settings_table[] = {
 	NAME("node", name),
 	{ .section = "node",
@@ -54,12 +68,11 @@
 	NAME("node", failure_domain),
 	NAME("node", region),
 	NAME("node", service),
-	UINT("listen", "http_port", http_port, "port", 1, UINT16_MAX, "8080"),
-	UINT("listen", "peer_port", peer_port, "port", 1, UINT16_MAX, "7400"),
-	UINT("listen", "control_port", control_port, "port", 1, UINT16_MAX,
-	     "7401"),
-	UINT("listen", "local_port", local_port, "port", 1, UINT16_MAX, "7402"),
-	UINT("listen", "admin_port", admin_port, "port", 1, UINT16_MAX, "7403"),
+	PORT(http_port, 1, "8080"),
+	PORT(peer_port, 1, "7400"),
+	PORT(control_port, 1, "7401"),
+	PORT(local_port, 1, "7402"),
+	PORT(admin_port, 1, "7403"),
 	{ .section = "listen",
 	  .name = "local_address",
 	  .kind = FP_FIELD_TEXT,
@@ -69,6 +82,15 @@
 	  .unit = "IP number",
 	  .valid = fp_ip_valid,
 	  .expected = "an IP number" },
+	PORT(ready_port, 0, "0"),
+	{ .section = "backend",
+	  .name = "address",
+	  .kind = FP_FIELD_TEXT,
+	  .offset = AT(backend_address),
+	  .size = ROOM(backend_address),
+	  .unit = "IP:PORT",
+	  .valid = fp_ip_port_valid,
+	  .expected = "IP:PORT" },
 	{ .section = "store",
 	  .name = "url",
 	  .kind = FP_FIELD_TEXT,
@@ -79,10 +101,17 @@
 	  .valid = is_http_url,
 	  .expected = "a URL http://HOST:PORT" },
 	UINT("store", "timeout_ms", store_timeout_ms, "ms", 50, 60000, "1000"),
+	{ .section = "store",
+	  .name = "kind",
+	  .kind = FP_FIELD_WORD,
+	  .offset = AT(store_kind),
+	  .size = ROOM(store_kind),
+	  .fallback = "plain",
+	  .unit = "word",
+	  .words = store_kinds },
 	{ .section = "fleet",
 	  .name = "secrets",
 	  .kind = FP_FIELD_HEXES,
-	  .required = true,
 	  .offset = AT(secrets),
 	  .size = FP_SECRET_BYTES,
 	  .count_offset = AT(n_secrets),
@@ -128,6 +157,18 @@
 	  .fallback = "on",
 	  .unit = "word",
 	  .words = on_off },
+	SPAN("bounds", "revoke", revoke_us, "5s"),
+	SPAN("bounds", "grace", grace_us, "10s"),
+	{ .section = "bounds",
+	  .name = "retry_ratio",
+	  .kind = FP_FIELD_SHARE,
+	  .offset = AT(retry_permille),
+	  .size = ROOM(retry_permille),
+	  .fallback = "0.1",
+	  .unit = "share" },
+	UINT("bounds", "retry_floor", retry_floor, "requests", 0, 1000000,
+	     "100"),
+	SPAN("bounds", "retry_window", retry_window_us, "10s"),
 	{ .section = "log",
 	  .name = "level",
 	  .kind = FP_FIELD_WORD,
@@ -141,8 +182,9 @@
 const uint32_t fp_settings_table_len =
 	sizeof(fp_settings_table) / sizeof(fp_settings_table[0]);
 
-static const char *const sections[] = { "node",	  "listen",   "store", "fleet",
-					"limits", "overload", "log" };
+static const char *const sections[] = { "node",	    "listen", "backend",
+					"store",    "fleet",  "limits",
+					"overload", "bounds", "log" };
 #define N_SECTIONS (sizeof(sections) / sizeof(sections[0]))
 
 static bool is_section(const char *name)
@@ -174,8 +216,9 @@
 		if (!is_section(name))
 			return fp_toml_fail(t, at, NULL,
 					    "expected one of node, listen, "
-					    "store, fleet, limits, overload, "
-					    "log, got an unknown section");
+					    "backend, store, fleet, limits, "
+					    "overload, bounds, log, got an "
+					    "unknown section");
 		at.index = shape == FP_TOML_TABLES ? 0 : -1;
 		if (shape != FP_TOML_TABLE)
 			return fp_toml_fail(t, at, NULL,
@@ -189,11 +232,12 @@
 static enum fp_status check_ports(const struct fp_toml *t,
 				  const struct fp_settings *s)
 {
-	static const char *const names[] = { "http_port", "peer_port",
+	static const char *const names[] = { "http_port",    "peer_port",
 					     "control_port", "local_port",
-					     "admin_port" };
-	const uint16_t ports[] = { s->http_port, s->peer_port, s->control_port,
-				   s->local_port, s->admin_port };
+					     "admin_port",   "ready_port" };
+	const uint16_t ports[] = { s->http_port,    s->peer_port,
+				   s->control_port, s->local_port,
+				   s->admin_port,   s->ready_port };
 	struct fp_toml_place at = { "listen", -1 };
 	char why[FP_WHY_BYTES];
 	size_t i;
@@ -212,6 +256,24 @@
 	return FP_OK;
 }
 
+/* Without leases nothing else holds the secret of the fleet. */
+static enum fp_status check_store(const struct fp_toml *t,
+				  const struct fp_settings *s)
+{
+	struct fp_toml_place at = { "fleet", -1 };
+	struct fp_toml_place backend = { "backend", -1 };
+
+	if (s->store_kind == FP_STORE_PLAIN && !s->n_secrets)
+		return fp_toml_fail(t, at, "secrets",
+				    "expected list of 1 to 4 texts, got "
+				    "nothing");
+	if (s->store_kind == FP_STORE_LEASES && !s->backend_address[0])
+		return fp_toml_fail(t, backend, "address",
+				    "expected IP:PORT with store.kind = "
+				    "\"leases\", got nothing");
+	return FP_OK;
+}
+
 static enum fp_status read_all(struct fp_toml *t, struct fp_settings *s)
 {
 	enum fp_status st = check_sections(t);
@@ -223,7 +285,9 @@
 		st = fp_toml_read(t, at, fp_settings_table,
 				  fp_settings_table_len, s);
 	}
-	return st ? st : check_ports(t, s);
+	if (!st)
+		st = check_ports(t, s);
+	return st ? st : check_store(t, s);
 }
 
 enum fp_status fp_settings_load(const char *path, struct fp_settings *s)
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -18,6 +18,13 @@
 #define FP_MAX_SECRETS	 4
 #define FP_MAX_SEEDS	 16
 
+/** What the platform's store offers. */
+enum fp_store_kind {
+	FP_STORE_PLAIN, /**< compare-and-swap; nodes tell each other the rest */
+	FP_STORE_LEASES, /**< leases and watches: it holds the members and the
+			  *   operators' record as well */
+};
+
 /** All settings of a node; docs/CONFIG.md lists units, defaults, ranges. */
 struct fp_settings {
 	/* [node] */
@@ -34,14 +41,20 @@
 	uint16_t local_port; /**< this VM's backend server */
 	uint16_t admin_port; /**< counters, status, operators */
 	char local_address[FP_ADDRESS_BYTES]; /**< loopback by default */
+	uint16_t ready_port; /**< says whether callers are taken; 0: none */
+
+	/* [backend] */
+	char backend_address[FP_ADDRESS_BYTES + 6]; /**< "ip:port", or "" */
 
 	/* [store] */
 	char store_url[FP_URL_BYTES];
 	uint32_t store_timeout_ms;
+	enum fp_store_kind store_kind;
 
 	/* [fleet] */
 	uint8_t secrets[FP_MAX_SECRETS][FP_SECRET_BYTES]; /**< hex in TOML */
-	uint32_t n_secrets; /**< the first proves, all are accepted */
+	uint32_t n_secrets; /**< the first proves, all are accepted; none with
+			     *   FP_STORE_LEASES, where the store keeps it */
 	char seeds[FP_MAX_SEEDS][FP_ADDRESS_BYTES + 6]; /**< "ip:port" */
 	uint32_t n_seeds; /**< control ports of peers, optional */
 	bool has_bootstrap_operator;
@@ -57,6 +70,13 @@
 	/* [overload] */
 	bool overload_off; /**< mode = "off": the baseline */
 
+	/* [bounds] */
+	int64_t revoke_us; /**< a withdrawn key works at most so long */
+	int64_t grace_us; /**< from the order to stop to the kill */
+	uint32_t retry_permille; /**< repeats per thousand first attempts */
+	uint32_t retry_floor; /**< repeats of the whole fleet a window */
+	int64_t retry_window_us; /**< over which repeats are counted */
+
 	/* [log] */
 	int log_level; /**< enum fp_log_level */
 };
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -10,6 +10,10 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
+
+/* Above the rank of any path. */
+#define HOST_RANK ((size_t)4 * FP_PATH_BYTES)
 
 /* Copies n items; an empty array stays NULL. */
 static bool copy_array(void *to, const void *from, size_t n, size_t size)
@@ -150,6 +154,7 @@
 }
 
 const struct fp_route *fp_config_find_route(const struct fp_config *c,
+					    const char *host,
 					    const char *method,
 					    const char *path)
 {
@@ -166,6 +171,11 @@
 
 		if (!exact && strcmp(r->method, "*") != 0)
 			continue;
+		if (r->host[0]) {
+			if (!host || strcasecmp(r->host, host) != 0)
+				continue;
+			rank += HOST_RANK;
+		}
 		if (rank <= best_rank || !prefix_matches(r->prefix, len, path))
 			continue;
 		best = r;
@@ -174,6 +184,21 @@
 	return best;
 }
 
+const char *fp_route_service(const struct fp_route *r, uint64_t draw)
+{
+	uint64_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < r->n_splits; i++)
+		sum += r->splits[i].weight;
+	if (!sum)
+		return r->service;
+	draw %= sum;
+	for (i = 0; draw >= r->splits[i].weight; i++)
+		draw -= r->splits[i].weight;
+	return r->splits[i].service;
+}
+
 int fp_config_find_org(const struct fp_config *c, const char *name)
 {
 	uint32_t i;
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -17,7 +17,9 @@
 struct fp_org {
 	char name[FP_NAME_BYTES];
 	uint32_t rate_per_s; /**< requests a second */
-	uint32_t burst; /**< requests */
+	uint32_t burst; /**< requests; rate and burst 0: not limited */
+	bool has_class; /**< its class goes before the route's */
+	enum fp_class cls;
 };
 
 /** A key of an organisation; only its hash is kept. */
@@ -34,6 +36,15 @@
 	char name[FP_NAME_BYTES];
 };
 
+/** Most services that one route is split over. */
+#define FP_MAX_SPLITS 8
+
+/** One part of a route whose requests go to several services. */
+struct fp_split {
+	char service[FP_NAME_BYTES];
+	uint32_t weight; /**< its part of the sum of all weights */
+};
+
 /** A route: what requests of that method and path prefix are. */
 struct fp_route {
 	char name[FP_NAME_BYTES];
@@ -41,9 +52,17 @@
 	char prefix[FP_PATH_BYTES];
 	char service[FP_NAME_BYTES];
 	enum fp_class cls;
-	bool idempotent; /**< false: needs an Idempotency-Key */
+	bool idempotent; /**< false: runs at most once, and needs an
+			  *   Idempotency-Key unless unnamed */
+	bool unnamed; /**< not idempotent, and callers name no
+		       *   Idempotency-Key: bound by its attempt alone */
 	bool open; /**< true: no key needed, no organisation */
 	uint32_t deadline_ms; /**< for the whole call tree */
+	char host[FP_HOST_BYTES]; /**< "": any */
+	uint32_t target_ms; /**< latency aimed at; 0: not said */
+	uint32_t max_workers; /**< that a request may reach; 0: as preset */
+	struct fp_split splits[FP_MAX_SPLITS];
+	uint32_t n_splits; /**< 0: all go to service */
 };
 
 /** A preset: limits in force together. Exactly one is active. */
@@ -84,6 +103,7 @@
 	uint32_t n_objectives;
 	uint32_t n_recent_change_ids;
 	uint32_t active_preset; /**< index into presets */
+	bool keyless; /**< no organisations: no request needs a key */
 	char change_id[FP_NAME_BYTES]; /**< of the change that made it */
 };
 
@@ -117,12 +137,23 @@
 /**
  * Finds the route with the longest matching prefix; NULL when none matches.
  *
- * A prefix matches whole path segments only; the query is not looked at.
+ * A prefix matches whole path segments only; the query is not looked at. A
+ * route of that host goes before one of any host.
+ *
+ * @param host  as the caller named it, in any case; NULL: not named
  */
 const struct fp_route *fp_config_find_route(const struct fp_config *c,
+					    const char *host,
 					    const char *method,
 					    const char *path);
 
+/**
+ * Picks the service of a request on a route.
+ *
+ * @param draw  uniform random number; the same one picks the same part
+ */
+const char *fp_route_service(const struct fp_route *r, uint64_t draw);
+
 /** Finds an organisation by name; returns its index or -1. */
 int fp_config_find_org(const struct fp_config *c, const char *name);
 
--- a/src/state/types.c
+++ b/src/state/types.c
@@ -76,3 +76,9 @@
 {
 	return (unsigned int)r < FP_REASON_COUNT ? reasons[r].http_status : 500;
 }
+
+enum fp_class fp_class_of_priority(uint32_t priority)
+{
+	return priority < FP_CLASS_COUNT ? (enum fp_class)priority :
+					   FP_CLASS_SHEDDABLE;
+}
--- a/src/state/types.h
+++ b/src/state/types.h
@@ -12,6 +12,8 @@
 #define FP_NAME_BYTES 48
 /** Longest route path prefix, with NUL. */
 #define FP_PATH_BYTES 128
+/** Longest name of a host with its port, with NUL. */
+#define FP_HOST_BYTES 80
 /** Bytes of a key's hash (BLAKE2b). */
 #define FP_KEY_HASH_BYTES 32
 /** Bytes of an opaque call id, before hexadecimal coding. */
@@ -73,6 +75,9 @@
 /** Parses a class name; returns -1 on another word. */
 int fp_class_parse(const char *word);
 
+/** Returns the class of a numeric priority, 0 being the most urgent. */
+enum fp_class fp_class_of_priority(uint32_t priority);
+
 /** Returns the HTTP status that goes with a reason; 200 for none. */
 int fp_reason_http_status(enum fp_reason r);
 
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -30,6 +30,10 @@
 	void *ctx;
 	size_t max_answer_bytes;
 	bool too_large;
+	bool once;
+	bool sent; /* handed to a connection */
+	const char *echo;
+	char *echo_value;
 	uint8_t *body; /* of the answer */
 	size_t body_bytes;
 	size_t body_size;
@@ -95,6 +99,7 @@
 	easy_put(c, s->easy);
 	clear_answer(s);
 	free(s->body_out);
+	free(s->echo_value);
 	free(s->body);
 	free(s);
 }
@@ -152,9 +157,28 @@
 	s->headers[s->n_headers].name = line;
 	s->headers[s->n_headers].value = value;
 	s->n_headers++;
+	if (s->echo_value && strcasecmp(line, s->echo) == 0 &&
+	    strcmp(value, s->echo_value) != 0)
+		return 0;
 	return len;
 }
 
+/* Called each time the request is about to be sent on a connection. */
+static int on_sending(void *ctx, char *remote_ip, char *local_ip,
+		      int remote_port, int local_port)
+{
+	struct fp_http_send *s = ctx;
+
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	if (s->once && s->sent)
+		return CURL_PREREQFUNC_ABORT;
+	s->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
 /* The end of the body was marked, so that cutting it would have been seen. */
 static bool end_was_marked(struct fp_http_send *s, long http_status)
 {
@@ -183,16 +207,6 @@
 	}
 }
 
-static bool never_connected(struct fp_http_send *s)
-{
-	curl_off_t connect_us = 0;
-	long conns = 0;
-
-	curl_easy_getinfo(s->easy, CURLINFO_NUM_CONNECTS, &conns);
-	curl_easy_getinfo(s->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
-	return conns > 0 && connect_us == 0;
-}
-
 static void finish(struct fp_http_send *s, CURLcode rc)
 {
 	struct fp_http_result r = { 0 };
@@ -202,7 +216,7 @@
 
 	curl_easy_getinfo(s->easy, CURLINFO_RESPONSE_CODE, &http_status);
 	r.status = status_of(s, rc, http_status);
-	if (r.status == FP_TIMEOUT && never_connected(s))
+	if (r.status != FP_OK && !s->sent)
 		r.status = FP_UNAVAILABLE;
 	r.http_status = (int)http_status;
 	r.headers = s->headers;
@@ -408,10 +422,8 @@
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, s);
 	curl_easy_setopt(e, CURLOPT_PRIVATE, s);
-	if (o->once) {
-		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
-		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
-	}
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_sending);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, s);
 	if (strcmp(o->method, "GET") != 0)
 		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, o->method);
 }
@@ -429,6 +441,13 @@
 	s->done = done;
 	s->ctx = ctx;
 	s->max_answer_bytes = o->max_answer_bytes;
+	s->once = o->once;
+	if (o->echo && o->echo_value) {
+		s->echo = o->echo;
+		s->echo_value = strdup(o->echo_value);
+		if (!s->echo_value)
+			abort();
+	}
 	s->easy = easy_get(c);
 	if (!s->easy) {
 		free(s);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -28,10 +28,16 @@
 	int64_t timeout_us; /**< for the whole exchange */
 	size_t max_answer_bytes; /**< a larger body counts as cut */
 	/**
-	 * Sends at most once: on a connection of its own, so that nothing is
-	 * sent again by the library when a pooled connection turns out dead.
+	 * Sends at most once: the library may not send it again when a pooled
+	 * connection turns out dead. That counts as FP_IO then.
 	 */
 	bool once;
+	/**
+	 * A header of the answer that must have this value if it is there;
+	 * with another one the answer is another request's, and counts as cut.
+	 */
+	const char *echo; /**< NULL: not looked at; must outlive the send */
+	const char *echo_value; /**< copied; NULL: not looked at */
 };
 
 /** How it ended. */
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -49,7 +49,8 @@
 	uint16_t port; /**< listened on */
 	uint64_t id; /**< of this process */
 	const uint8_t (*secrets)[FP_PEER_SECRET_BYTES]; /**< copied */
-	uint32_t n_secrets; /**< the first proves, all are accepted */
+	uint32_t n_secrets; /**< the first proves, all are accepted; with
+			     *   none no link comes up before they are set */
 	uint32_t max_frame_bytes;
 	struct fp_counters *counters;
 	const char *counter_label; /**< text between braces, e.g. net="call" */
