Rates of organisations by an owner that follows from the members

The owner of a bucket is now the member that ranks highest for the organisation; a node without an answer has an equal part.

--- /dev/null
+++ b/src/node/owner.c
@@ -0,0 +1,365 @@
+/*
+ * owner.c - buckets of organisations at the node that owns them, hosted only
+ *
+ * The owner of an organisation's bucket is the member whose name ranks highest
+ * for it (rendezvous hashing), so a node that starts again owns what it owned.
+ * Nothing is agreed on: two nodes that see different members for a moment may
+ * both think that they are the owner. What that can add is bounded, because
+ *
+ *	- a bucket starts empty and earns only once the grants of the owner
+ *	  before have ended;
+ *	- who is not the owner in its own view grants nothing;
+ *	- a node that no owner answers has an equal part of the rate only, and
+ *	  an owner that lost the link to a member leaves its part out.
+ */
+#include "node/owner.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/log.h"
+#include "state/bucket.h"
+
+/* How often the link to a lost member is tried again. */
+#define REDIAL_US (500 * FP_US_PER_MS)
+/* How long an empty bucket of a new owner does not speak of its organisation's
+ * use; half of this is the wait for grants of the owner before. */
+#define WARM_US (2 * FP_GRANT_OWNER_US)
+
+struct org_bucket {
+	char org[FP_NAME_BYTES];
+	struct fp_bucket *bucket;
+	int64_t warm_us; /* from here on an empty bucket was emptied */
+	struct org_bucket *next;
+};
+
+/* A member whose link was up and is not any more. */
+struct lost_member {
+	char addr[FP_MEMBER_ADDR_BYTES];
+	struct lost_member *next;
+};
+
+struct owner {
+	struct org_bucket *buckets;
+	struct lost_member *lost;
+	uint32_t n_lost;
+	int64_t dialed_us;
+};
+
+static int64_t fresh_now_us(const struct fp_traffic *t)
+{
+	return fp_mono_us(t->clock);
+}
+
+void owner_init(struct fp_traffic *t)
+{
+	t->owner = calloc(1, sizeof(*t->owner));
+	if (!t->owner)
+		abort();
+}
+
+uint64_t owner_of(const struct fp_traffic *t, const char *org)
+{
+	uint64_t seed = XXH3_64bits(org, strlen(org));
+	uint64_t best = 0;
+	uint64_t id = 0;
+	uint32_t i;
+
+	for (i = 0; t->members && i < t->members->n; i++) {
+		const struct fp_member *m = &t->members->members[i];
+		uint64_t rank = XXH3_64bits_withSeed(m->name, strlen(m->name),
+						     seed);
+
+		if (id && rank <= best)
+			continue;
+		best = rank;
+		id = m->id;
+	}
+	return id;
+}
+
+static struct org_bucket *find(const struct owner *o, const char *org)
+{
+	struct org_bucket *b = o->buckets;
+
+	while (b && strcmp(b->org, org) != 0)
+		b = b->next;
+	return b;
+}
+
+/* The rate less the equal parts of members that are on their own. */
+static uint32_t rate_here(const struct fp_traffic *t, uint32_t rate_per_s)
+{
+	uint32_t n = t->members ? t->members->n : 1;
+	uint32_t lost = t->owner->n_lost < n ? t->owner->n_lost : n - 1;
+	uint32_t rate = (uint32_t)((uint64_t)rate_per_s * (n - lost) / n);
+
+	return rate || !rate_per_s ? rate : 1;
+}
+
+static void add(struct fp_traffic *t, const struct fp_org *org, int64_t now_us)
+{
+	struct org_bucket *b = calloc(1, sizeof(*b));
+
+	if (!b)
+		abort();
+	b->bucket = fp_bucket_init(rate_here(t, org->rate_per_s), org->burst,
+				   t->node_id, now_us + FP_GRANT_OWNER_US);
+	if (!b->bucket)
+		abort();
+	memcpy(b->org, org->name, sizeof(b->org));
+	b->warm_us = now_us + WARM_US;
+	b->next = t->owner->buckets;
+	t->owner->buckets = b;
+	fp_log(FP_LOG_INFO, "bucket_owned", "org=%s rate=%u burst=%u members=%u",
+	       org->name, org->rate_per_s, org->burst, t->members->n);
+}
+
+static bool is_ours(const struct fp_traffic *t, const char *org)
+{
+	int i = fp_config_find_org(t->config, org);
+
+	return i >= 0 && t->config->orgs[i].rate_per_s &&
+	       owner_of(t, org) == t->node_id;
+}
+
+static void drop_others(struct fp_traffic *t)
+{
+	struct org_bucket **at = &t->owner->buckets;
+	struct org_bucket *b;
+
+	while ((b = *at)) {
+		if (is_ours(t, b->org)) {
+			at = &b->next;
+			continue;
+		}
+		fp_log(FP_LOG_INFO, "bucket_left", "org=%s", b->org);
+		*at = b->next;
+		fp_bucket_end(b->bucket);
+		free(b);
+	}
+}
+
+/* Forgets lost members that are none any more. */
+static void drop_lost(struct fp_traffic *t)
+{
+	struct lost_member **at = &t->owner->lost;
+	struct lost_member *l;
+	uint32_t i;
+
+	while ((l = *at)) {
+		for (i = 0; i < t->members->n; i++)
+			if (strcmp(t->members->members[i].peer_addr,
+				   l->addr) == 0)
+				break;
+		if (i < t->members->n) {
+			at = &l->next;
+			continue;
+		}
+		*at = l->next;
+		free(l);
+		t->owner->n_lost--;
+	}
+}
+
+void owner_update(struct fp_traffic *t)
+{
+	int64_t now_us = fresh_now_us(t);
+	struct org_bucket *b;
+	uint32_t i;
+
+	if (!t->config || !t->members)
+		return;
+	drop_lost(t);
+	drop_others(t);
+	for (i = 0; i < t->config->n_orgs; i++) {
+		const struct fp_org *org = &t->config->orgs[i];
+
+		if (!is_ours(t, org->name))
+			continue;
+		b = find(t->owner, org->name);
+		if (b)
+			fp_bucket_set_rate(b->bucket,
+					   rate_here(t, org->rate_per_s),
+					   org->burst, now_us);
+		else
+			add(t, org, now_us);
+	}
+}
+
+/* --- messages --- */
+
+static void answer_ask(struct fp_traffic *t, const struct fp_grant_ask *ask,
+		       struct fp_grant_answer *a)
+{
+	struct org_bucket *b = find(t->owner, ask->org);
+	int64_t now_us = fresh_now_us(t);
+
+	memset(a, 0, sizeof(*a));
+	a->status = FP_UNAVAILABLE;
+	if (!b)
+		return;
+	a->status = fp_bucket_grant(b->bucket, ask->want, now_us, &a->grant_id,
+				    &a->tokens, &a->wait_us);
+	if (a->status == FP_EXHAUSTED && now_us < b->warm_us)
+		a->status = FP_AGAIN;
+}
+
+static void take_return(struct fp_traffic *t, const struct fp_grant_return *r)
+{
+	struct org_bucket *b = find(t->owner, r->org);
+
+	if (b)
+		fp_bucket_return(b->bucket, r->grant_id, r->tokens,
+				 fresh_now_us(t));
+}
+
+static enum fp_status send_on(struct fp_peer_link *link,
+			      const struct fp_msg_shared *m)
+{
+	msgpack_sbuffer buf;
+	enum fp_status st;
+
+	msgpack_sbuffer_init(&buf);
+	st = fp_msg_shared_encode(m, &buf);
+	if (st == FP_OK)
+		st = fp_peer_send(link, buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+	return st;
+}
+
+enum fp_status owner_message(struct fp_traffic *t, struct fp_peer_link *link,
+			     const uint8_t *data, size_t bytes)
+{
+	struct fp_msg_shared a = { .type = FP_MSG_GRANT_ANSWER };
+	struct fp_msg_shared m;
+
+	if (fp_msg_shared_decode(data, bytes, &m) != FP_OK)
+		return FP_INVALID;
+	switch (m.type) {
+	case FP_MSG_GRANT_ASK:
+		a.id = m.id;
+		answer_ask(t, &m.grant_ask, &a.grant_answer);
+		/* An answer that is lost is asked for again. */
+		send_on(link, &a);
+		return FP_OK;
+	case FP_MSG_GRANT_RETURN:
+		take_return(t, &m.grant_return);
+		return FP_OK;
+	case FP_MSG_GRANT_ANSWER:
+		tokens_answer(t, m.id, &m.grant_answer);
+		return FP_OK;
+	default:
+		return FP_INVALID;
+	}
+}
+
+/* An ask of this node itself; answered in a later round of the loop. */
+struct own_ask {
+	struct fp_traffic *t;
+	struct fp_msg_shared m;
+};
+
+static void take_own(void *ctx)
+{
+	struct own_ask *k = ctx;
+	struct fp_grant_answer a;
+
+	if (k->m.type == FP_MSG_GRANT_ASK) {
+		answer_ask(k->t, &k->m.grant_ask, &a);
+		tokens_answer(k->t, k->m.id, &a);
+	} else {
+		take_return(k->t, &k->m.grant_return);
+	}
+	free(k);
+}
+
+void owner_send(struct fp_traffic *t, const char *org,
+		const struct fp_msg_shared *m)
+{
+	uint64_t id = owner_of(t, org);
+	const struct fp_member *owner = traffic_member(t, id);
+	struct fp_peer_link *link;
+	struct own_ask *k;
+
+	if (!owner)
+		return;
+	if (id != t->node_id) {
+		link = fp_peer_link_to(t->peers, owner->peer_addr);
+		if (link)
+			send_on(link, m);
+		return;
+	}
+	k = malloc(sizeof(*k));
+	if (!k)
+		abort();
+	k->t = t;
+	k->m = *m;
+	fp_loop_post(t->loop, take_own, k);
+}
+
+/* --- links --- */
+
+void owner_link(struct fp_traffic *t, const char *addr, bool up)
+{
+	struct lost_member **at = &t->owner->lost;
+	struct lost_member *l;
+
+	while (*at && strcmp((*at)->addr, addr) != 0)
+		at = &(*at)->next;
+	if (up ? !*at : *at != NULL)
+		return;
+	if (up) {
+		l = *at;
+		*at = l->next;
+		free(l);
+		t->owner->n_lost--;
+	} else {
+		l = calloc(1, sizeof(*l));
+		if (!l)
+			abort();
+		strncpy(l->addr, addr, sizeof(l->addr) - 1);
+		*at = l;
+		t->owner->n_lost++;
+	}
+	owner_update(t);
+}
+
+void owner_tick(struct fp_traffic *t, int64_t now_us)
+{
+	struct fp_peer_link *link;
+	struct lost_member *l;
+	struct lost_member *next;
+
+	if (!t->owner->lost || now_us - t->owner->dialed_us < REDIAL_US)
+		return;
+	t->owner->dialed_us = now_us;
+	for (l = t->owner->lost; l; l = next) {
+		next = l->next;
+		link = fp_peer_link_to(t->peers, l->addr);
+		/* A pair may have had two links, of which one went down. */
+		if (link && fp_peer_is_up(link))
+			owner_link(t, l->addr, true);
+	}
+}
+
+void owner_end(struct fp_traffic *t)
+{
+	struct org_bucket *b;
+	struct lost_member *l;
+
+	if (!t->owner)
+		return;
+	while ((b = t->owner->buckets)) {
+		t->owner->buckets = b->next;
+		fp_bucket_end(b->bucket);
+		free(b);
+	}
+	while ((l = t->owner->lost)) {
+		t->owner->lost = l->next;
+		free(l);
+	}
+	free(t->owner);
+}
--- /dev/null
+++ b/src/node/owner.h
@@ -0,0 +1,30 @@
+/* owner.h - buckets of organisations at the node that owns them, hosted only */
+#ifndef FP_NODE_OWNER_H
+#define FP_NODE_OWNER_H
+
+#include "node/traffic_private.h"
+#include "protocol/msg_shared.h"
+
+void owner_init(struct fp_traffic *t);
+
+/** Members or configuration changed: takes over buckets, drops others. */
+void owner_update(struct fp_traffic *t);
+
+/** Returns the id of the node that owns an organisation's bucket; 0: none. */
+uint64_t owner_of(const struct fp_traffic *t, const char *org);
+
+/** Sends an ask or a return to the owner of an organisation's bucket. */
+void owner_send(struct fp_traffic *t, const char *org,
+		const struct fp_msg_shared *m);
+
+/** Takes a message of msg_shared.h; FP_INVALID when it is none. */
+enum fp_status owner_message(struct fp_traffic *t, struct fp_peer_link *link,
+			     const uint8_t *data, size_t bytes);
+
+/** The link to a node came up, or went down after it had been up. */
+void owner_link(struct fp_traffic *t, const char *addr, bool up);
+
+void owner_tick(struct fp_traffic *t, int64_t now_us);
+void owner_end(struct fp_traffic *t);
+
+#endif
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -6,11 +6,18 @@
  * is asked. What the owner says decides how a wait ends: if the bucket is
  * empty the organisation is over its rate; if no owner answers the refusal
  * says so, and is counted apart.
+ *
+ * Where the store holds the members, the owner follows from them (owner.c), and
+ * a node that it does not answer goes on with an equal part of the rate, which
+ * the owner leaves out of the bucket for those that it has lost.
  */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/log.h"
 #include "node/call.h"
+#include "node/owner.h"
 #include "protocol/msg_shared.h"
 #include "state/grants.h"
 #include "state/share.h"
@@ -20,6 +27,8 @@
 #define NO_OWNER_WAIT_US FP_US_PER_S
 #define ASK_AGAIN_US	 (20 * FP_US_PER_MS)
 #define MAX_WAITING	 1024u
+/* After so long with an owner the equal part begins with a token. */
+#define SHARE_REST_US (2 * FP_US_PER_S)
 #define RETRY_AFTER_US	 FP_US_PER_S
 
 /** One organisation's tokens and the calls that wait for one. */
@@ -27,11 +36,14 @@
 	char org[FP_NAME_BYTES];
 	struct fp_traffic *t;
 	struct fp_grants *grants;
-	struct fp_share share; /* instead of grants, where no bucket is owned */
+	bool alone; /* no owner answers: the equal part is in use */
+	int64_t joined_us; /* when an owner answered last */
+	struct fp_share share; /* the equal part */
 	struct org_tokens *next; /* of all organisations */
 	struct call *first; /* waiting, oldest first */
 	struct call *last;
 	uint32_t n_waiting;
+	bool limited; /* it has a rate */
 	uint64_t ask_id; /* of the open ask, 0: none */
 	int64_t asked_us;
 	bool exhausted; /* the owner's last word was an empty bucket */
@@ -51,13 +63,12 @@
 
 	if (i < 0)
 		return;
-	if (o->t->hosted) {
+	if (o->t->hosted)
 		fp_share_set(&o->share, cfg->orgs[i].rate_per_s,
 			     cfg->orgs[i].burst,
 			     o->t->members ? o->t->members->n : 1,
 			     fresh_now_us(o->t));
-		return;
-	}
+	o->limited = cfg->orgs[i].rate_per_s > 0;
 	if (cfg->n_presets)
 		percent = cfg->presets[cfg->active_preset].rate_percent;
 	fp_grants_set_rate(o->grants, cfg->orgs[i].rate_per_s * percent / 100,
@@ -121,6 +132,10 @@
 {
 	msgpack_sbuffer buf;
 
+	if (o->t->hosted) {
+		owner_send(o->t, o->org, m);
+		return;
+	}
 	msgpack_sbuffer_init(&buf);
 	if (fp_msg_shared_encode(m, &buf) == FP_OK)
 		o->t->hooks.to_slice(o->t->hooks.ctx, fp_slice_of_org(o->org),
@@ -155,12 +170,39 @@
 		send_message(o, &m);
 }
 
+static enum fp_status take_one(struct org_tokens *o, int64_t now_us)
+{
+	if (fp_grants_take(o->grants, now_us) == FP_OK)
+		return FP_OK;
+	return o->alone ? fp_share_take(&o->share, now_us) : FP_AGAIN;
+}
+
+/* Nobody answered, or one who is not or not yet the owner. */
+static void go_alone(struct org_tokens *o, int64_t now_us)
+{
+	if (!o->t->hosted || o->alone)
+		return;
+	o->alone = true;
+	fp_share_restart(&o->share, now_us - o->joined_us > SHARE_REST_US,
+			 now_us);
+	fp_log(FP_LOG_WARN, "rate_alone", "org=%s owner=%016" PRIx64, o->org,
+	       owner_of(o->t, o->org));
+}
+
+static void join(struct org_tokens *o, int64_t now_us)
+{
+	if (o->alone)
+		fp_log(FP_LOG_INFO, "rate_joined", "org=%s", o->org);
+	o->alone = false;
+	o->joined_us = now_us;
+}
+
 static void pump(struct org_tokens *o)
 {
 	int64_t now_us = fresh_now_us(o->t);
 	struct call *c;
 
-	while (o->first && fp_grants_take(o->grants, now_us) == FP_OK) {
+	while (o->first && take_one(o, now_us) == FP_OK) {
 		c = o->first;
 		tokens_forget(c);
 		call_have_token(c);
@@ -175,10 +217,10 @@
 	struct org_tokens *o = find(c->t, c->msg.org);
 	int64_t now_us = fresh_now_us(c->t);
 
-	if (c->t->hosted)
-		return fp_share_take(&o->share, now_us);
+	if (c->t->hosted && !o->limited)
+		return FP_OK;
 	fp_grants_demand(o->grants, now_us);
-	if (!o->first && fp_grants_take(o->grants, now_us) == FP_OK) {
+	if (!o->first && take_one(o, now_us) == FP_OK) {
 		ask(o, now_us);
 		return FP_OK;
 	}
@@ -201,8 +243,8 @@
 static void refuse_hopeless(struct org_tokens *o, int64_t now_us,
 			    int64_t wait_us)
 {
-	int64_t patience_us =
-		o->exhausted ? FP_GRANT_WAIT_US : NO_OWNER_WAIT_US;
+	int64_t patience_us = o->exhausted || o->alone ? FP_GRANT_WAIT_US :
+							 NO_OWNER_WAIT_US;
 
 	while (o->first &&
 	       o->first->started_us + patience_us < now_us + wait_us)
@@ -225,6 +267,10 @@
 		return;
 	close_ask(o);
 	o->exhausted = a->status == FP_EXHAUSTED;
+	if (a->status == FP_OK || a->status == FP_EXHAUSTED)
+		join(o, now_us);
+	else
+		go_alone(o, now_us);
 	switch (a->status) {
 	case FP_OK:
 		fp_grants_add(o->grants, a->grant_id, a->tokens, o->asked_us,
@@ -246,10 +292,11 @@
 	int64_t now_us = fresh_now_us(t);
 	struct org_tokens *o;
 
-	for (o = t->hosted ? NULL : t->all_tokens; o; o = o->next) {
+	for (o = t->all_tokens; o; o = o->next) {
 		if (o->ask_id && now_us - o->asked_us > ASK_TIMEOUT_US) {
 			close_ask(o);
 			o->exhausted = false;
+			go_alone(o, now_us);
 			fp_grants_lost(o->grants, now_us);
 		}
 		if (!o->ask_id || !o->exhausted)
@@ -264,12 +311,15 @@
 
 	for (o = t->all_tokens; o; o = o->next)
 		set_rate(o);
+	if (t->hosted)
+		owner_update(t);
 }
 
 void tokens_members(struct fp_traffic *t)
 {
-	if (t->hosted)
-		tokens_config(t);
+	if (!t->hosted)
+		return;
+	tokens_config(t);
 }
 
 void tokens_init(struct fp_traffic *t)
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "node/owner.h"
 #include "node/traffic_private.h"
 #include "protocol/msg_shared.h"
 
@@ -121,6 +122,8 @@
 		execution_cancel(t, link, corr);
 		return;
 	default:
+		if (t->hosted && owner_message(t, link, data, bytes) == FP_OK)
+			return;
 		fp_fail(FP_INVALID, "message of unknown type");
 	}
 	fp_counter_add(t->n.bad_messages, 1);
@@ -133,6 +136,16 @@
 
 	call_link_down(t, link, was_up);
 	execution_link_down(t, link);
+	if (t->hosted)
+		owner_link(t, fp_peer_identity(link)->addr, !was_up);
+}
+
+static void on_link_up(void *ctx, struct fp_peer_link *link)
+{
+	struct fp_traffic *t = ctx;
+
+	if (t->hosted)
+		owner_link(t, fp_peer_identity(link)->addr, true);
 }
 
 static enum fp_status open_http(struct fp_traffic *t)
@@ -182,6 +195,7 @@
 		.counter_label = "net=\"call\"",
 	};
 	struct fp_peer_handler h = { .frame = on_frame,
+				     .up = on_link_up,
 				     .down = on_link_down,
 				     .ctx = t };
 
@@ -435,6 +449,8 @@
 	worker_tick(t, now_us);
 	execution_tick(t, now_us);
 	tokens_tick(t);
+	if (t->hosted)
+		owner_tick(t, now_us);
 	claim_tick(t, now_us);
 	if (t->draining)
 		drain_tick(t, now_us);
@@ -499,6 +515,7 @@
 	limits_init(t);
 	slo_init(t);
 	tokens_init(t);
+	owner_init(t);
 	claim_init(t);
 	st = fp_loop_init(clock, &t->loop);
 	if (st == FP_OK) {
@@ -562,6 +579,7 @@
 	limits_end(t);
 	fp_slo_end(t->slo);
 	tokens_end(t);
+	owner_end(t);
 	claim_shutdown(t);
 	fp_admission_end(t->admission);
 	free(t->verdicts);
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -28,6 +28,7 @@
 struct call;
 struct execution;
 struct org_tokens;
+struct owner;
 struct verdict;
 struct fp_grant_answer;
 struct fp_claim_answer;
@@ -90,6 +91,7 @@
 	apr_hash_t *ratios; /* retry ratio by service */
 	apr_hash_t *tokens; /* struct org_tokens by organisation */
 	struct org_tokens *all_tokens; /* list */
+	struct owner *owner; /* buckets that this node owns; hosted only */
 	apr_hash_t *asks; /* the same by id of the open ask */
 	apr_hash_t *couriers; /* claim messages by id */
 	struct lost_call lost[FP_MAX_LOST];
--- a/src/state/share.c
+++ b/src/state/share.c
@@ -44,9 +44,15 @@
 		s->tokens_u = cap_u(s);
 }
 
+void fp_share_restart(struct fp_share *s, bool with_one, int64_t now_us)
+{
+	s->tokens_u = with_one ? UNIT : 0;
+	s->at_us = now_us;
+}
+
 enum fp_status fp_share_take(struct fp_share *s, int64_t now_us)
 {
-	if (!s->rate_per_s && !s->burst)
+	if (!s->rate_per_s || !s->parts)
 		return FP_OK;
 	earn(s, now_us);
 	if (s->tokens_u < UNIT)
--- a/src/state/share.h
+++ b/src/state/share.h
@@ -13,7 +13,7 @@
 
 /** A token bucket that holds one of n equal parts; zeroed before first use. */
 struct fp_share {
-	uint32_t rate_per_s; /**< of the whole fleet; with burst 0: no limit */
+	uint32_t rate_per_s; /**< of the whole fleet; 0: no limit */
 	uint32_t burst; /**< of the whole fleet, tokens */
 	uint32_t parts; /**< nodes that share it */
 	int64_t tokens_u; /**< millionths of a token */
@@ -25,6 +25,9 @@
 void fp_share_set(struct fp_share *s, uint32_t rate_per_s, uint32_t burst,
 		  uint32_t parts, int64_t now_us);
 
+/** Begins anew, with one token or with none. */
+void fp_share_restart(struct fp_share *s, bool with_one, int64_t now_us);
+
 /** Takes a token; FP_OK, or FP_EXHAUSTED when there is none. */
 enum fp_status fp_share_take(struct fp_share *s, int64_t now_us);
 
