Nested calls find their parent; no repeat for a run that is merely slow

The id of an inner call begins with its parent's, so it is admitted as part of a started tree and its parent's reply tells the entry what the route touches. A refusal that never reached a backend server costs no attempt. A request that was sent before the library failed to connect anew counts as cut, not as not run (Calls.CrashedWorkerLeavesATrueOutcomeAndOneExecution failed before).

--- a/src/node/call.c
+++ b/src/node/call.c
@@ -231,20 +231,27 @@
 	return true;
 }
 
-/* The attempt in flight ended without an answer. */
+/*
+ * The attempt in flight ended without an answer. What never reached a backend
+ * server costs no attempt: it added no load there.
+ */
 static void attempt_over(struct call *c, enum fp_outcome outcome,
-			 enum fp_reason why)
+			 enum fp_reason why, bool reached)
 {
-	bool again = c->n_tried < c->max_workers && !c->left;
+	bool again = c->n_tried < FP_MAX_TRIED && !c->left;
+
+	if (reached || outcome != FP_OUTCOME_NOT_RUN)
+		c->n_reached++;
+	again = again && c->n_reached < c->max_workers;
 
 	forget_attempt(c);
 	if (outcome != FP_OUTCOME_NOT_RUN) {
 		c->maybe_ran = true;
 		again = again && may_retry_unknown(c) && spend_attempt(c);
 	} else if (why == FP_REASON_OVERLOADED || why == FP_REASON_DEADLINE) {
-		/* Only the root asks another worker, out of its pot. */
+		/* Of calls that reached one only the root asks another. */
 		again = again && why == FP_REASON_OVERLOADED &&
-			!c->msg.nested && spend_attempt(c);
+			(!reached || (!c->msg.nested && spend_attempt(c)));
 	}
 	if (!again) {
 		call_refuse(c, outcome, why,
@@ -267,7 +274,7 @@
 	fp_choice_ended(c->t->choice, c->worker, FP_CHOICE_FAILED,
 			now_us - c->sent_us, NULL, now_us);
 	send_cancel(c);
-	attempt_over(c, FP_OUTCOME_UNKNOWN, FP_REASON_CUT);
+	attempt_over(c, FP_OUTCOME_UNKNOWN, FP_REASON_CUT, true);
 }
 
 /*
@@ -278,7 +285,7 @@
 {
 	int64_t share_us = (c->deadline_us - now_us) / (c->pot.left + 1);
 
-	if (!may_retry_unknown(c) || share_us < MIN_ATTEMPT_US)
+	if (c->t->hosted || !may_retry_unknown(c) || share_us < MIN_ATTEMPT_US)
 		return;
 	fp_timer_set(c->t->loop, &c->attempt_timer, now_us + share_us,
 		     on_attempt_slow, c);
@@ -410,7 +417,7 @@
 	if (transmit(c, m) == FP_OK)
 		return;
 	fp_choice_ended(t->choice, m->id, FP_CHOICE_FAILED, 0, NULL, now_us);
-	attempt_over(c, FP_OUTCOME_NOT_RUN, FP_REASON_NO_WORKER);
+	attempt_over(c, FP_OUTCOME_NOT_RUN, FP_REASON_NO_WORKER, false);
 }
 
 /* --- replies --- */
@@ -462,7 +469,7 @@
 		pass_on(c, r);
 		return;
 	}
-	attempt_over(c, r->outcome, r->reason);
+	attempt_over(c, r->outcome, r->reason, r->run_us > 0);
 }
 
 /* Returns the next call with an attempt on that link, or NULL. */
@@ -488,7 +495,7 @@
 				now_us - c->sent_us, NULL, now_us);
 		attempt_over(c,
 			     was_up ? FP_OUTCOME_UNKNOWN : FP_OUTCOME_NOT_RUN,
-			     was_up ? FP_REASON_CUT : FP_REASON_NO_WORKER);
+			     was_up ? FP_REASON_CUT : FP_REASON_NO_WORKER, was_up);
 	}
 }
 
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -17,7 +17,8 @@
 	int64_t started_us;
 	int64_t deadline_us;
 	int64_t target_us; /* latency that the route aims at; 0: not said */
-	uint32_t max_workers; /* that may be offered it */
+	uint32_t max_workers; /* that it may reach */
+	uint32_t n_reached; /* that it has reached, or may have */
 	struct fp_attempt_pot pot; /* extra attempts left */
 	bool maybe_ran; /* some attempt ended with unknown outcome */
 	uint64_t tried[FP_MAX_TRIED]; /* workers that were offered it */
--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -186,34 +186,6 @@
 	return route;
 }
 
-void call_from_caller(struct fp_traffic *t, struct fp_http_exchange *x,
-		      const struct fp_http_request *r)
-{
-	const struct fp_route *route = find_route(t, x, r);
-	enum fp_reason why;
-	struct call *c;
-
-	if (!route)
-		return;
-	c = call_new(t, x, r);
-	call_set_route(c, route);
-	c->msg.cls = route->cls;
-	why = check_key(c, route, r);
-	if (why != FP_REASON_NONE) {
-		call_refuse(c, FP_OUTCOME_NOT_RUN, why,
-			    why == FP_REASON_ISOLATED ? call_retry_after_us(c) :
-							0);
-		return;
-	}
-	randombytes_buf(c->msg.root, sizeof(c->msg.root));
-	set_deadline(c, r, c->started_us + route->deadline_ms * FP_US_PER_MS);
-	c->msg.fingerprint = fingerprint(c);
-	memcpy(c->msg.caller, t->settings->service, sizeof(c->msg.caller));
-	c->pot.left = route->max_workers ? route->max_workers - 1 :
-					   preset_attempts(t->config);
-	call_begin(c);
-}
-
 static bool parse_call_id(const struct fp_http_request *r,
 			  uint8_t id[FP_CALL_ID_BYTES])
 {
@@ -227,20 +199,15 @@
 	       got == FP_CALL_ID_BYTES;
 }
 
-void call_from_worker(struct fp_traffic *t, struct fp_http_exchange *x,
-		      const struct fp_http_request *r)
+/* Makes a call that an execution of this node's backend server makes. */
+static void nested_call(struct fp_traffic *t, struct fp_http_exchange *x,
+			const struct fp_http_request *r,
+			struct execution *parent)
 {
-	uint8_t id[FP_CALL_ID_BYTES];
 	struct execution_context up;
 	const struct fp_route *route;
-	struct execution *parent;
 	struct call *c;
 
-	parent = parse_call_id(r, id) ? execution_find(t, id) : NULL;
-	if (!parent) {
-		refuse(t, x, FP_CLASS_NORMAL, FP_REASON_CALL_UNKNOWN);
-		return;
-	}
 	execution_context(parent, &up);
 	if (up.depth + 1 >= FP_MAX_DEPTH) {
 		refuse(t, x, up.cls, FP_REASON_CALL_UNKNOWN);
@@ -258,10 +225,84 @@
 	c->msg.fingerprint = up.fingerprint;
 	memcpy(c->msg.org, up.org, sizeof(c->msg.org));
 	memcpy(c->msg.root, up.root, sizeof(c->msg.root));
-	memcpy(c->parent_id, id, sizeof(c->parent_id));
+	memcpy(c->parent_id, up.call_id, sizeof(c->parent_id));
 	c->org_index = UINT32_MAX;
 	set_deadline(c, r, up.deadline_us);
 	memcpy(c->msg.caller, t->settings->service, sizeof(c->msg.caller));
 	c->pot.left = fp_attempt_lend(up.pot, NESTED_ATTEMPTS);
 	call_begin(c);
 }
+
+void call_from_worker(struct fp_traffic *t, struct fp_http_exchange *x,
+		      const struct fp_http_request *r)
+{
+	uint8_t id[FP_CALL_ID_BYTES];
+	struct execution *parent;
+
+	parent = parse_call_id(r, id) ? execution_find(t, id) : NULL;
+	if (!parent)
+		refuse(t, x, FP_CLASS_NORMAL, FP_REASON_CALL_UNKNOWN);
+	else
+		nested_call(t, x, r, parent);
+}
+
+/*
+ * The execution that makes this request, where nested calls arrive like those
+ * of callers; NULL for a caller's own. The longest id that fits is the parent's.
+ */
+static struct execution *find_parent(struct fp_traffic *t,
+				     const struct fp_http_request *r)
+{
+	const char *mark = t->dialect->nested_mark;
+	const char *id = mark ? header(r, t->dialect->request_id) : NULL;
+	char parent[FP_REQUEST_ID_BYTES];
+	struct execution *found = NULL;
+	const char *at;
+
+	for (at = id ? strstr(id, mark) : NULL; at; at = strstr(at + 1, mark)) {
+		struct execution *e;
+
+		if ((size_t)(at - id) >= sizeof(parent))
+			break;
+		memcpy(parent, id, (size_t)(at - id));
+		parent[at - id] = '\0';
+		e = execution_find_request(t, parent);
+		if (e)
+			found = e;
+	}
+	return found;
+}
+
+void call_from_caller(struct fp_traffic *t, struct fp_http_exchange *x,
+		      const struct fp_http_request *r)
+{
+	struct execution *parent = find_parent(t, r);
+	const struct fp_route *route;
+	enum fp_reason why;
+	struct call *c;
+
+	if (parent && !find_key(t, r)) {
+		nested_call(t, x, r, parent);
+		return;
+	}
+	route = find_route(t, x, r);
+	if (!route)
+		return;
+	c = call_new(t, x, r);
+	call_set_route(c, route);
+	c->msg.cls = route->cls;
+	why = check_key(c, route, r);
+	if (why != FP_REASON_NONE) {
+		call_refuse(c, FP_OUTCOME_NOT_RUN, why,
+			    why == FP_REASON_ISOLATED ? call_retry_after_us(c) :
+							0);
+		return;
+	}
+	randombytes_buf(c->msg.root, sizeof(c->msg.root));
+	set_deadline(c, r, c->started_us + route->deadline_ms * FP_US_PER_MS);
+	c->msg.fingerprint = fingerprint(c);
+	memcpy(c->msg.caller, t->settings->service, sizeof(c->msg.caller));
+	c->pot.left = route->max_workers ? route->max_workers - 1 :
+					   preset_attempts(t->config);
+	call_begin(c);
+}
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -47,6 +47,7 @@
 	struct fp_msg_memory memory;
 	struct fp_attempt_pot pot;
 	uint64_t admission_id;
+	const char *request_id; /* the caller's; NULL: none */
 	bool running; /* admission started it */
 	int64_t deadline_us;
 	int64_t sent_us; /* to the backend server */
@@ -57,6 +58,11 @@
 	uint32_t n_failed;
 };
 
+struct execution *execution_find_request(struct fp_traffic *t, const char *id)
+{
+	return apr_hash_get(t->requests, id, APR_HASH_KEY_STRING);
+}
+
 static void execution_free(struct execution *e)
 {
 	struct fp_traffic *t = e->t;
@@ -66,6 +72,9 @@
 	apr_hash_set(t->executions, e->call_id, sizeof(e->call_id), NULL);
 	apr_hash_set(t->waiting, &e->admission_id, sizeof(e->admission_id),
 		     NULL);
+	if (e->request_id && execution_find_request(t, e->request_id) == e)
+		apr_hash_set(t->requests, e->request_id, APR_HASH_KEY_STRING,
+			     NULL);
 	fp_msg_memory_end(&e->memory);
 	free(e->data);
 	free(e);
@@ -347,7 +356,9 @@
 	put_header(h, &n, d->call, texts[0]);
 	put_header(h, &n, d->root, texts[1]);
 	put_header(h, &n, d->deadline_ms, texts[2]);
-	put_header(h, &n, d->org, e->msg.org);
+	/* Where a nested call shows no key, no organisation is told either. */
+	if (!e->msg.nested || !d->nested_mark)
+		put_header(h, &n, d->org, e->msg.org);
 	put_header(h, &n, d->cls, fp_class_name(e->msg.cls));
 	put_header(h, &n, d->caller_service, e->msg.caller);
 	put_header(h, &n, d->target, e->t->worker.instance);
@@ -390,7 +401,7 @@
 	}
 	if (t->dialect->request_id) {
 		o.echo = t->dialect->request_id;
-		o.echo_value = fp_msg_header_find(&e->msg.content, o.echo);
+		o.echo_value = e->request_id;
 	}
 	backend_url(t, e->msg.uri, url, sizeof(url));
 	fp_counter_add(t->n.executions, 1);
@@ -490,6 +501,7 @@
 
 	t->executions = apr_hash_make(t->pool);
 	t->waiting = apr_hash_make(t->pool);
+	t->requests = apr_hash_make(t->pool);
 	t->admission = fp_admission_init(&p, &sink);
 	if (!t->admission)
 		abort();
@@ -553,6 +565,12 @@
 	e->deadline_us = fp_loop_now_us(t->loop) + e->msg.left_us;
 	randombytes_buf(e->call_id, sizeof(e->call_id));
 	e->admission_id = ++t->next_admission_id;
+	if (t->dialect->request_id)
+		e->request_id = fp_msg_header_find(&e->msg.content,
+						   t->dialect->request_id);
+	if (e->request_id)
+		apr_hash_set(t->requests, e->request_id, APR_HASH_KEY_STRING,
+			     e);
 	apr_hash_set(t->executions, e->call_id, sizeof(e->call_id), e);
 	apr_hash_set(t->waiting, &e->admission_id, sizeof(e->admission_id), e);
 	t->n_executions++;
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -22,6 +22,9 @@
 /** Most workers that one call is offered to. */
 #define FP_MAX_TRIED 4
 
+/** Longest caller's id by which a nested call finds its parent, with NUL. */
+#define FP_REQUEST_ID_BYTES 256
+
 /** Most calls remembered as cut off by the worker. */
 #define FP_MAX_LOST 256
 
@@ -74,6 +77,7 @@
 	struct fp_choice *choice;
 	apr_hash_t *calls; /* by correlation id of the attempt */
 	apr_hash_t *executions; /* by call id */
+	apr_hash_t *requests; /* executions by the caller's id */
 	apr_hash_t *waiting; /* executions by admission id */
 	struct fp_admission *admission;
 	struct verdict *verdicts; /* of admission, oldest first */
@@ -197,6 +201,9 @@
 struct execution *execution_find(struct fp_traffic *t,
 				 const uint8_t call_id[FP_CALL_ID_BYTES]);
 
+/** Finds a running execution by the caller's id of its request. */
+struct execution *execution_find_request(struct fp_traffic *t, const char *id);
+
 /** What a nested call takes from the execution that makes it. */
 struct execution_context {
 	uint8_t call_id[FP_CALL_ID_BYTES];
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -55,8 +55,12 @@
 			     *   has the address, and it did not run */
 	bool status_promises; /**< to callers 408, 421, 429 and 503 mean: not
 			       *   run and never will be; nothing else does */
-	bool nested_unnamed; /**< nested calls arrive like callers' requests
-			      *   and name no parent */
+	/**
+	 * Nested calls arrive like callers' requests: the id of one is the id
+	 * of the request that makes it, this text, and more. NULL: they name
+	 * their parent in the header call.
+	 */
+	const char *nested_mark;
 
 	/**
 	 * Reads an announcement of a backend server.
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -218,6 +218,9 @@
 	r.status = status_of(s, rc, http_status);
 	if (r.status != FP_OK && !s->sent)
 		r.status = FP_UNAVAILABLE;
+	/* The library may fail to connect anew for what it had sent before. */
+	if (r.status == FP_UNAVAILABLE && s->sent)
+		r.status = FP_IO;
 	r.http_status = (int)http_status;
 	r.headers = s->headers;
 	r.n_headers = s->n_headers;
