--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -75,7 +75,8 @@
 	struct fp_timer sweep; /* drops what is gone */
 	bool has_secret;
 	uint64_t revision; /* of the operators' record in force */
-	uint64_t config_item; /* revision of the item that was read last */
+	uint64_t config_item; /* revision of the item that was asked for last */
+	bool config_read; /* its text made sense */
 	int64_t config_asked_us;
 	uint64_t lease; /* 0: none */
 	bool written; /* the record under the lease is the newest */
@@ -186,7 +187,8 @@
 
 /* --- config --- */
 
-static void take_config(struct fp_directory *d,
+/* Returns whether it could be read. */
+static bool take_config(struct fp_directory *d,
 			const struct fp_registry_item *it)
 {
 	struct fp_config *c;
@@ -196,12 +198,12 @@
 		fp_log(FP_LOG_ERROR, "config_refused",
 		       "item_revision=%" PRIu64 " why=\"%s\"", it->revision,
 		       fp_last_message());
-		return;
+		return false;
 	}
 	/* Versions only go up, whatever the order of answers. */
 	if (c->revision <= d->revision) {
 		fp_config_end(c);
-		return;
+		return true;
 	}
 	fp_log(FP_LOG_INFO, "config_taken",
 	       "revision=%" PRIu64 " before=%" PRIu64
@@ -209,6 +211,7 @@
 	       c->revision, d->revision, c->n_routes, c->n_orgs, c->n_keys);
 	d->revision = c->revision;
 	d->ops.config(d->ops.ctx, c);
+	return true;
 }
 
 static void on_config(void *ctx, const struct fp_registry_result *r)
@@ -225,9 +228,10 @@
 	}
 	succeeded(&d->config);
 	if (r->items[0].revision != d->config_item)
-		take_config(d, &r->items[0]);
+		d->config_read = take_config(d, &r->items[0]);
 	d->config_item = r->items[0].revision;
-	if (d->revision)
+	/* What cannot be read may take a key away. */
+	if (d->config_read)
 		d->ops.current(d->ops.ctx, d->config_asked_us);
 	run_after(&d->config, next_us > now_us ? next_us - now_us : 0);
 }
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -6,6 +6,7 @@
  */
 #include "node/traffic.h"
 
+#include <inttypes.h>
 #include <sodium.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -21,6 +22,8 @@
 /* How long a stopping node still takes connections, so that callers and other
  * nodes learn of it from its answers and not from a refused connection. */
 #define LAME_DUCK_US	    (2 * FP_US_PER_S)
+/* What the end of a process takes, before the kill. */
+#define KILL_MARGIN_US	    (400 * FP_US_PER_MS)
 #define FRAME_EXTRA_BYTES   (256u << 10)
 #define MAX_IDLE_BACKEND    512
 #define LOCAL_HEADER_FACTOR 2
@@ -431,12 +434,19 @@
 
 static void drain_tick(struct fp_traffic *t, int64_t now_us)
 {
-	if (t->drained_told || now_us - t->drain_began_us < LAME_DUCK_US)
+	int64_t spent_us = now_us - t->drain_began_us;
+	uint32_t open;
+
+	if (t->drained_told || spent_us < LAME_DUCK_US)
 		return;
 	fp_http_server_quiesce(t->callers);
-	if (t->n_calls || t->n_executions ||
-	    fp_http_server_open_exchanges(t->callers))
+	open = fp_http_server_open_exchanges(t->callers);
+	if ((t->n_calls || t->n_executions || open) &&
+	    spent_us < t->settings->grace_us - KILL_MARGIN_US)
 		return;
+	fp_log(FP_LOG_INFO, "drained",
+	       "calls=%u executions=%u exchanges=%u spent_ms=%" PRId64,
+	       t->n_calls, t->n_executions, open, spent_us / FP_US_PER_MS);
 	t->drained_told = true;
 	t->hooks.drained(t->hooks.ctx);
 }
--- /dev/null
+++ b/test/test_platform.cc
@@ -0,0 +1,213 @@
+/* test_platform.cc - what the adapter makes of the platform's texts */
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+
+#include "base/log.h"
+#include "platform/platform.h"
+
+namespace
+{
+
+enum fp_status beat(const std::string &method, const std::string &uri,
+		    const std::string &body, struct fp_announcement *a)
+{
+	return platform_dialect.announcement(
+		method.c_str(), uri.c_str(),
+		reinterpret_cast<const uint8_t *>(body.data()), body.size(), a);
+}
+
+const std::string ready =
+	"{\"service\":\"rota\",\"address\":\"10.1.0.2:80\",\"zone\":\"a\","
+	"\"version\":\"v1\",\"slots\":36,\"state\":\"ready\","
+	"\"coldRemaining\":\"0ms\",\"sequence\":4,\"born\":1788008443000}";
+
+std::string with(const std::string &from, const std::string &to)
+{
+	std::string text = ready;
+
+	return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(Beat, OfAReadyServer)
+{
+	struct fp_announcement a;
+
+	ASSERT_EQ(FP_OK, beat("PUT", "/instances/i-7", ready, &a))
+		<< fp_last_message();
+	EXPECT_STREQ("i-7", a.instance);
+	EXPECT_STREQ("rota", a.service);
+	EXPECT_STREQ("10.1.0.2:80", a.address);
+	EXPECT_EQ(36u, a.slots);
+	EXPECT_TRUE(a.serving);
+	EXPECT_FALSE(a.farewell);
+	EXPECT_TRUE(a.ordered);
+	EXPECT_EQ(4u, a.sequence);
+	EXPECT_EQ(1788008443000, a.born_ms);
+}
+
+TEST(Beat, OfOneThatLeaves)
+{
+	struct fp_announcement a;
+
+	ASSERT_EQ(FP_OK, beat("PUT", "/instances/i-7",
+			      with("\"ready\"", "\"draining\""), &a));
+	EXPECT_FALSE(a.serving);
+	EXPECT_FALSE(a.farewell);
+	ASSERT_EQ(FP_OK, beat("DELETE", "/instances/i-7", "", &a));
+	EXPECT_TRUE(a.farewell);
+	EXPECT_EQ(0, a.born_ms);
+	ASSERT_EQ(FP_OK,
+		  beat("DELETE", "/instances/i-7?x=1", "{\"born\":7}", &a));
+	EXPECT_STREQ("i-7", a.instance);
+	EXPECT_EQ(7, a.born_ms);
+}
+
+TEST(Beat, ThatCannotBeReadNamesNoServer)
+{
+	const std::string bad[] = {
+		"",
+		"{",
+		"[]",
+		"\x80\x01\x02",
+		with("\"slots\":36", "\"slots\":\"36\""),
+		with("\"slots\":36", "\"slots\":0"),
+		with("\"slots\":36", "\"slots\":1e9"),
+		with("\"ready\"", "\"asleep\""),
+		with("\"state\":\"ready\",", ""),
+		with("\"sequence\":4", "\"sequence\":\"4\""),
+		with("\"sequence\":4", "\"sequence\":-4"),
+		with("\"service\":\"rota\",", ""),
+		with("\"service\":\"rota\"", "\"service\":7"),
+		with("\"address\":\"10.1.0.2:80\",", ""),
+		with("1788008443000", "\"1788008443000\""),
+		with("1788008443000", "1.5"),
+	};
+	struct fp_announcement a;
+
+	for (const auto &body : bad)
+		EXPECT_EQ(FP_INVALID, beat("PUT", "/instances/i-7", body, &a))
+			<< body;
+	EXPECT_EQ(FP_INVALID, beat("PUT", "/instances/", ready, &a));
+	EXPECT_EQ(FP_INVALID, beat("PUT", "/instances/a/b", ready, &a));
+	EXPECT_EQ(FP_INVALID,
+		  beat("PUT", "/instances/" + std::string(99, 'a'), ready, &a));
+	EXPECT_EQ(FP_NOT_FOUND, beat("GET", "/instances/i-7", ready, &a));
+	EXPECT_EQ(FP_NOT_FOUND, beat("PUT", "/other", ready, &a));
+}
+
+const std::string record =
+	"{\"version\":\"r7\",\"routes\":{"
+	"\"r-a\":{\"hostname\":\"h.example\",\"pathPrefix\":\"/a/\","
+	"\"kind\":\"safe\",\"timeout\":\"800ms\",\"targetLatency\":\"1.5s\","
+	"\"priority\":2,\"trafficSplit\":[{\"service\":\"s1\",\"weight\":90},"
+	"{\"service\":\"s2\",\"weight\":10}],\"maxAttempts\":2,"
+	"\"public\":false},"
+	"\"r-b\":{\"hostname\":\"h.example\",\"pathPrefix\":\"/b/\","
+	"\"kind\":\"unsafe\",\"timeout\":\"1s\",\"targetLatency\":\"250ms\","
+	"\"priority\":0,\"service\":\"s3\",\"maxAttempts\":1,"
+	"\"public\":true}},"
+	"\"services\":{},\"limits\":{},"
+	"\"tenants\":{\"t1\":{\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1,"
+	"\"ratePerS\":160,\"burst\":161}}}";
+
+std::string record_with(const std::string &from, const std::string &to)
+{
+	std::string text = record;
+
+	return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(Record, RoutesAndOrganisations)
+{
+	struct fp_config *c = nullptr;
+	uint8_t hash[FP_KEY_HASH_BYTES];
+	uint32_t org = 9;
+
+	ASSERT_EQ(FP_OK, platform_config(record.data(), record.size(), &c))
+		<< fp_last_message();
+	EXPECT_EQ(7u, c->revision);
+	EXPECT_FALSE(c->keyless);
+	const struct fp_route *a =
+		fp_config_find_route(c, "h.example", "GET", "/a/x");
+	const struct fp_route *b =
+		fp_config_find_route(c, "h.example", "PUT", "/b/x?y");
+	ASSERT_NE(nullptr, a);
+	ASSERT_NE(nullptr, b);
+	EXPECT_EQ(nullptr,
+		  fp_config_find_route(c, "other.example", "GET", "/a/x"));
+	EXPECT_TRUE(a->idempotent);
+	EXPECT_FALSE(a->open);
+	EXPECT_EQ(800u, a->deadline_ms);
+	EXPECT_EQ(1500u, a->target_ms);
+	EXPECT_EQ(FP_CLASS_SHEDDABLE, a->cls);
+	EXPECT_EQ(2u, a->max_workers);
+	ASSERT_EQ(2u, a->n_splits);
+	EXPECT_STREQ("s2", a->splits[1].service);
+	EXPECT_EQ(10u, a->splits[1].weight);
+	EXPECT_FALSE(b->idempotent);
+	EXPECT_TRUE(b->unnamed);
+	EXPECT_TRUE(b->open);
+	EXPECT_STREQ("s3", b->service);
+	EXPECT_EQ(FP_CLASS_IMPORTANT, b->cls);
+	fp_key_hash("k2", 2, hash);
+	EXPECT_EQ(FP_OK, fp_config_find_key(c, hash, &org));
+	EXPECT_EQ(0u, org);
+	EXPECT_EQ(160u, c->orgs[0].rate_per_s);
+	EXPECT_EQ(161u, c->orgs[0].burst);
+	EXPECT_TRUE(c->orgs[0].has_class);
+	EXPECT_EQ(FP_CLASS_NORMAL, c->orgs[0].cls);
+	fp_config_end(c);
+}
+
+TEST(Record, OfAKindThatIsNotKnownRunsOnce)
+{
+	std::string text = record_with("\"safe\"", "\"keyed\"");
+	struct fp_config *c = nullptr;
+
+	ASSERT_EQ(FP_OK, platform_config(text.data(), text.size(), &c));
+	EXPECT_FALSE(fp_config_find_route(c, "h.example", "GET", "/a/x")
+			     ->idempotent);
+	fp_config_end(c);
+}
+
+TEST(Record, WithoutOrganisationsNeedsNoKeys)
+{
+	std::string text = record.substr(0, record.find(",\"tenants\"")) + "}";
+	struct fp_config *c = nullptr;
+
+	ASSERT_EQ(FP_OK, platform_config(text.data(), text.size(), &c));
+	EXPECT_TRUE(c->keyless);
+	fp_config_end(c);
+}
+
+TEST(Record, ThatCannotBeReadIsRefusedWhole)
+{
+	const std::string bad[] = {
+		"",
+		"[]",
+		record.substr(0, record.size() - 1),
+		record_with("\"r7\"", "\"7\""),
+		record_with("\"r7\"", "\"r\""),
+		record_with("\"r7\"", "7"),
+		record_with("\"r7\"", "\"r7x\""),
+		record_with("\"kind\":\"safe\",", ""),
+		record_with("\"800ms\"", "800"),
+		record_with("\"800ms\"", "\"800\""),
+		record_with("\"hostname\":\"h.example\",", ""),
+		record_with("\"service\":\"s3\",", ""),
+		record_with("\"weight\":90", "\"weight\":-1"),
+		record_with("\"ratePerS\":160", "\"ratePerS\":\"160\""),
+		record_with("\"k1\"", "1"),
+	};
+	struct fp_config *c = nullptr;
+
+	for (const auto &text : bad)
+		EXPECT_EQ(FP_INVALID,
+			  platform_config(text.data(), text.size(), &c))
+			<< text;
+	EXPECT_EQ(nullptr, c);
+}
+
+} // namespace
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -110,11 +110,29 @@
 	{ "unknown name", whole + "[listen]\nhttp_prt = 1\n",
 	  ":12: [listen] http_prt: expected one of http_port, peer_port" },
 	{ "wrong type", whole + "[listen]\n# x\nhttp_port = \"80\"\n",
-	  ":13: [listen] http_port: expected integer 1 to 65535, got \"80\"" },
+	  ":13: [listen] http_port: expected integer 1 to 65535, or IP:PORT, "
+	  "got \"80\"" },
 	{ "float", whole + "[listen]\nhttp_port = 80.5\n",
-	  ":12: [listen] http_port: expected integer 1 to 65535, got a value" },
+	  ":12: [listen] http_port: expected integer 1 to 65535, or IP:PORT, "
+	  "got a value" },
 	{ "too large", whole + "[listen]\n http_port= 65536\n",
-	  ":12: [listen] http_port: expected integer 1 to 65535, got 65536" },
+	  ":12: [listen] http_port: expected integer 1 to 65535, or IP:PORT, "
+	  "got 65536" },
+	{ "port 0 of an address",
+	  whole + "[listen]\nhttp_port = \"1.2.3.4:0\"\n",
+	  ":12: [listen] http_port: expected integer 1 to 65535, or IP:PORT" },
+	{ "time without a unit", whole + "[bounds]\nrevoke = \"5\"\n",
+	  ":12: [bounds] revoke: expected a time such as \"1500ms\"" },
+	{ "negative time", whole + "[bounds]\nrevoke = \"-5s\"\n",
+	  ":12: [bounds] revoke: expected a time such as \"1500ms\"" },
+	{ "share", whole + "[bounds]\nretry_ratio = \"a fifth\"\n",
+	  ":12: [bounds] retry_ratio: expected a share such as \"0.2\"" },
+	{ "store kind", whole + "[store]\nkind = \"x\"\n", ":11: " },
+	{ "no secret at all", node + store + "[fleet]\n",
+	  ":9: [fleet] secrets: expected list of 1 to 4 texts, got nothing" },
+	{ "leases without a backend address",
+	  node + store + "kind = \"leases\"\n",
+	  ":1: [backend] address: expected IP:PORT with store.kind" },
 	{ "too small", whole + "[limits]\nmax_body_bytes = 1023\n",
 	  ":12: [limits] max_body_bytes: expected integer 1024 to 16777216, "
 	  "got 1023" },
@@ -196,6 +214,27 @@
 		<< fp_last_message();
 }
 
+TEST(Settings, FormsOfAHostingPlatform)
+{
+	struct fp_settings s;
+	std::string text = node + store + "kind = \"leases\"\n" +
+			   "[backend]\naddress = \"10.0.0.7:8080\"\n"
+			   "[listen]\nhttp_port = \"10.0.0.7:8548\"\n"
+			   "ready_port = 8549\n"
+			   "[bounds]\nrevoke = \"2.5s\"\ngrace = \"6000ms\"\n"
+			   "retry_ratio = \"0.25\"\n";
+
+	ASSERT_EQ(FP_OK, load(text, &s)) << fp_last_message();
+	EXPECT_EQ(FP_STORE_LEASES, s.store_kind);
+	EXPECT_STREQ("10.0.0.7:8080", s.backend_address);
+	EXPECT_EQ(8548, s.http_port);
+	EXPECT_EQ(8549, s.ready_port);
+	EXPECT_EQ(0u, s.n_secrets);
+	EXPECT_EQ(2500000, s.revoke_us);
+	EXPECT_EQ(6000000, s.grace_us);
+	EXPECT_EQ(250u, s.retry_permille);
+}
+
 /* The row of a field in docs/CONFIG.md, up to its remark. */
 std::string row(const struct fp_field &f)
 {
