Log lines of each decision on stdout; the fleet's retry budget; crash news to all

Lines never block and are bounded a kind (test_log). What was in flight at a crash is told to all members.

--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,4 +1,8 @@
-/* log.h - one structured line for each change of state */
+/* log.h - structured lines: one a decision or change of belief
+ *
+ * Lines never block their writer, and each kind of them is bounded: see log.c
+ * for what is written in place of those that were left out.
+ */
 #ifndef FP_BASE_LOG_H
 #define FP_BASE_LOG_H
 
@@ -16,8 +20,9 @@
 	FP_LOG_ERROR,
 };
 
-/** Sets the lowest level written, and the stream (NULL: standard error). */
-void fp_log_setup(enum fp_log_level lowest, FILE *out);
+/** Sets the lowest level written, and the descriptor (at first standard output).
+ *  Counts begin anew. */
+void fp_log_setup(enum fp_log_level lowest, int fd);
 
 /** Parses "debug", "info", "warn" or "error"; returns -1 on another word. */
 int fp_log_parse_level(const char *word);
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -12,10 +12,13 @@
  */
 #include "node/call.h"
 
+#include <inttypes.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/log.h"
+
 /* How long after the deadline the exit node's own verdict is waited for. */
 #define VERDICT_GRACE_US (20 * FP_US_PER_MS)
 #define MIN_ATTEMPT_US	 (20 * FP_US_PER_MS)
@@ -71,6 +74,39 @@
 	return c;
 }
 
+const char *call_name(const struct call *c, char room[FP_REQUEST_NAME_BYTES])
+{
+	const char *name = c->t->dialect->request_id;
+	const char *id =
+		name ? fp_msg_header_find(&c->msg.content, name) : NULL;
+
+	if (id)
+		return id;
+	return sodium_bin2hex(room, FP_REQUEST_NAME_BYTES, c->msg.root,
+			      sizeof(c->msg.root));
+}
+
+static void log_end(const struct call *c, enum fp_outcome outcome,
+		    enum fp_reason why, int http_status)
+{
+	int64_t now_us = fp_loop_now_us(c->t->loop);
+	char room[FP_REQUEST_NAME_BYTES];
+
+	fp_log(FP_LOG_INFO, why == FP_REASON_NONE ? "answered" : "refused",
+	       "id=%.120s route=%s service=%s org=%s class=%s nested=%d "
+	       "outcome=%s reason=%s blame=%s status=%d total_ms=%" PRId64
+	       " left_ms=%" PRId64 " sent=%u reached=%u worker=%016" PRIx64
+	       " gone=%d config=%" PRIu64,
+	       call_name(c, room), c->msg.route, c->msg.service, c->msg.org,
+	       fp_class_name(c->msg.cls), c->msg.nested,
+	       fp_outcome_name(outcome), fp_reason_name(why),
+	       c->blame ? c->blame : "-", http_status,
+	       (now_us - c->started_us) / FP_US_PER_MS,
+	       (c->deadline_us - now_us) / FP_US_PER_MS, c->n_tried,
+	       c->n_reached, c->worker, c->left,
+	       c->t->config ? c->t->config->revision : 0);
+}
+
 void call_set_route(struct call *c, const struct fp_route *r)
 {
 	memcpy(c->msg.route, r->name, sizeof(c->msg.route));
@@ -154,6 +190,7 @@
 	if (outcome == FP_OUTCOME_NOT_RUN &&
 	    (c->maybe_ran || earlier_may_have_run(c, why)))
 		outcome = FP_OUTCOME_UNKNOWN;
+	log_end(c, outcome, why, 0);
 	claim_end(c, outcome, NULL);
 	limits_ended(c, why, 0);
 	slo_ended(c, outcome, why, 0);
@@ -174,6 +211,9 @@
 {
 	int64_t total_us = fp_loop_now_us(c->t->loop) - c->started_us;
 
+	/* Good answers in time are counted; the others are told. */
+	if (r->http_status >= 500 || (c->target_us && total_us > c->target_us))
+		log_end(c, FP_OUTCOME_RAN, FP_REASON_NONE, r->http_status);
 	fp_histogram_add(c->t->n.total_us, total_us);
 	fp_histogram_add(c->t->n.added_us, total_us - r->run_us);
 	claim_end(c, FP_OUTCOME_RAN, r);
@@ -232,28 +272,37 @@
 }
 
 /*
- * The attempt in flight ended without an answer. What never reached a backend
- * server costs no attempt: it added no load there.
+ * Whether a call whose attempt ended without an answer may be sent to another
+ * worker. What never reached a backend server costs no attempt: it added no
+ * load there.
  */
+static bool may_go_on(struct call *c, enum fp_outcome outcome,
+		      enum fp_reason why, bool reached)
+{
+	if (c->left || c->n_tried == FP_MAX_TRIED ||
+	    c->n_reached >= c->max_workers)
+		return false;
+	if (outcome != FP_OUTCOME_NOT_RUN)
+		return may_retry_unknown(c) && spend_attempt(c);
+	if (why == FP_REASON_DEADLINE)
+		return false;
+	if (why != FP_REASON_OVERLOADED)
+		return !reached || !c->t->hosted || spend_attempt(c);
+	/* Of calls that reached one only the root asks another. */
+	return !reached || (!c->msg.nested && spend_attempt(c));
+}
+
 static void attempt_over(struct call *c, enum fp_outcome outcome,
 			 enum fp_reason why, bool reached)
 {
-	bool again = c->n_tried < FP_MAX_TRIED && !c->left;
+	char room[FP_REQUEST_NAME_BYTES];
 
+	forget_attempt(c);
 	if (reached || outcome != FP_OUTCOME_NOT_RUN)
 		c->n_reached++;
-	again = again && c->n_reached < c->max_workers;
-
-	forget_attempt(c);
-	if (outcome != FP_OUTCOME_NOT_RUN) {
+	if (outcome != FP_OUTCOME_NOT_RUN)
 		c->maybe_ran = true;
-		again = again && may_retry_unknown(c) && spend_attempt(c);
-	} else if (why == FP_REASON_OVERLOADED || why == FP_REASON_DEADLINE) {
-		/* Of calls that reached one only the root asks another. */
-		again = again && why == FP_REASON_OVERLOADED &&
-			(!reached || (!c->msg.nested && spend_attempt(c)));
-	}
-	if (!again) {
+	if (!may_go_on(c, outcome, why, reached)) {
 		call_refuse(c, outcome, why,
 			    outcome == FP_OUTCOME_NOT_RUN ?
 				    call_retry_after_us(c) :
@@ -261,6 +310,12 @@
 		return;
 	}
 	fp_counter_add(c->t->n.retries, 1);
+	fp_log(FP_LOG_INFO, "sent_again",
+	       "id=%.120s service=%s outcome=%s reason=%s sent=%u reached=%u "
+	       "left_ms=%" PRId64,
+	       call_name(c, room), c->msg.service, fp_outcome_name(outcome),
+	       fp_reason_name(why), c->n_tried, c->n_reached,
+	       (c->deadline_us - fp_loop_now_us(c->t->loop)) / FP_US_PER_MS);
 	call_send(c);
 }
 
@@ -493,9 +548,9 @@
 	while ((c = next_on_link(t, link))) {
 		fp_choice_ended(t->choice, c->worker, FP_CHOICE_FAILED,
 				now_us - c->sent_us, NULL, now_us);
-		attempt_over(c,
-			     was_up ? FP_OUTCOME_UNKNOWN : FP_OUTCOME_NOT_RUN,
-			     was_up ? FP_REASON_CUT : FP_REASON_NO_WORKER, was_up);
+		attempt_over(
+			c, was_up ? FP_OUTCOME_UNKNOWN : FP_OUTCOME_NOT_RUN,
+			was_up ? FP_REASON_CUT : FP_REASON_NO_WORKER, was_up);
 	}
 }
 
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -126,11 +126,34 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+static void log_end(const struct execution *e, enum fp_outcome outcome,
+		    enum fp_reason why, int64_t run_us)
+{
+	struct fp_traffic *t = e->t;
+	char root[CALL_HEX_BYTES];
+	struct fp_admission_level l;
+
+	fp_admission_read_level(t->admission, &l);
+	sodium_bin2hex(root, sizeof(root), e->msg.root, sizeof(e->msg.root));
+	fp_log(FP_LOG_INFO, "execution_failed",
+	       "id=%.120s route=%s class=%s nested=%d outcome=%s reason=%s "
+	       "instance=%s serving=%d run_ms=%" PRId64 " left_ms=%" PRId64
+	       " running=%u limit=%u queued=%u delay_ms=%u",
+	       e->request_id ? e->request_id : root, e->msg.route,
+	       fp_class_name(e->msg.cls), e->msg.nested,
+	       fp_outcome_name(outcome), fp_reason_name(why),
+	       t->worker.instance, t->worker.serving, run_us / FP_US_PER_MS,
+	       (e->deadline_us - fp_loop_now_us(t->loop)) / FP_US_PER_MS,
+	       l.running, l.limit, l.queued, l.delay_us / 1000);
+}
+
 static void refuse(struct execution *e, enum fp_outcome outcome,
 		   enum fp_reason why)
 {
 	struct fp_msg_reply r = { .outcome = outcome, .reason = why };
 
+	log_end(e, outcome, why, 0);
+
 	send_reply(e, &r);
 	execution_free(e);
 }
@@ -291,6 +314,8 @@
 	e->send = NULL;
 	r.run_us = fp_loop_now_us(t->loop) - e->sent_us;
 	judge(t, res, &r);
+	if (r.reason != FP_REASON_NONE || r.http_status >= 500)
+		log_end(e, r.outcome, r.reason, r.run_us);
 	if (r.reason == FP_REASON_CUT || r.reason == FP_REASON_NO_WORKER)
 		worker_lost_call(t, e->msg.fingerprint);
 	leave_slot(e, r.reason == FP_REASON_OVERLOADED ||
--- a/src/node/limits.c
+++ b/src/node/limits.c
@@ -16,6 +16,7 @@
 #include <xxhash.h>
 
 #include "node/call.h"
+#include "state/budget.h"
 #include "state/early.h"
 #include "state/poison.h"
 
@@ -29,6 +30,7 @@
 struct service_ratio {
 	char service[FP_NAME_BYTES];
 	struct fp_retry_ratio ratio;
+	struct fp_budget budget; /* instead, where a bound of the fleet holds */
 };
 
 static const struct fp_preset *preset(const struct fp_traffic *t)
@@ -96,15 +98,40 @@
 	return s;
 }
 
+/* The bound that the deployment sets, of which this node has a part. */
+static struct fp_budget_bound fleet_bound(const struct fp_traffic *t)
+{
+	const struct fp_settings *s = t->settings;
+
+	return (struct fp_budget_bound){
+		.ratio_permille = s->retry_permille,
+		.floor = s->retry_floor,
+		.window_us = s->retry_window_us,
+		.parts = t->members && t->members->n ? t->members->n : 1,
+	};
+}
+
 void limits_first(struct call *c)
 {
+	struct fp_budget_bound bound = fleet_bound(c->t);
+
+	if (c->t->hosted) {
+		fp_budget_first(&ratio_of(c)->budget, &bound,
+				fp_loop_now_us(c->t->loop));
+		return;
+	}
 	fp_retry_ratio_first(&ratio_of(c)->ratio, fp_loop_now_us(c->t->loop));
 }
 
 enum fp_status limits_repeat(struct call *c)
 {
+	struct fp_budget_bound bound = fleet_bound(c->t);
+
 	if (c->t->settings->overload_off)
 		return FP_OK;
+	if (c->t->hosted)
+		return fp_budget_repeat(&ratio_of(c)->budget, &bound,
+					fp_loop_now_us(c->t->loop));
 	return fp_retry_ratio_repeat(&ratio_of(c)->ratio,
 				     fp_loop_now_us(c->t->loop));
 }
@@ -137,7 +164,6 @@
 {
 	struct fp_traffic *t = c->t;
 	uint64_t print = named_print(c);
-	const char *service;
 
 	if (t->isolated && c->org_index != UINT32_MAX)
 		return FP_REASON_ISOLATED;
@@ -145,7 +171,7 @@
 		return FP_REASON_NONE;
 	if (shed_by_preset(c) ||
 	    fp_early_check(t->early, c->msg.route, c->msg.cls,
-			   randombytes_random(), now_us, &service) != FP_OK)
+			   randombytes_random(), now_us, &c->blame) != FP_OK)
 		return FP_REASON_SHED_EARLY;
 	if (print &&
 	    fp_repeats_arrive(t->repeats, c->org_index, print, now_us) != FP_OK)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -15,6 +15,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/counters.h"
@@ -191,7 +192,7 @@
 		fprintf(stderr, "fulmarpass: a library cannot be started\n");
 		return 1;
 	}
-	fp_log_setup((enum fp_log_level)s->log_level, NULL);
+	fp_log_setup((enum fp_log_level)s->log_level, STDOUT_FILENO);
 	n.counters = fp_counters_init();
 	if (start(&n, p) == FP_OK) {
 		wait_for_end(&n, &set, settings_path);
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -69,8 +69,8 @@
 
 	for (i = 0; t->members && i < t->members->n; i++) {
 		const struct fp_member *m = &t->members->members[i];
-		uint64_t rank = XXH3_64bits_withSeed(m->name, strlen(m->name),
-						     seed);
+		uint64_t rank =
+			XXH3_64bits_withSeed(m->name, strlen(m->name), seed);
 
 		if (id && rank <= best)
 			continue;
@@ -113,8 +113,9 @@
 	b->warm_us = now_us + WARM_US;
 	b->next = t->owner->buckets;
 	t->owner->buckets = b;
-	fp_log(FP_LOG_INFO, "bucket_owned", "org=%s rate=%u burst=%u members=%u",
-	       org->name, org->rate_per_s, org->burst, t->members->n);
+	fp_log(FP_LOG_INFO, "bucket_owned",
+	       "org=%s rate=%u burst=%u members=%u", org->name, org->rate_per_s,
+	       org->burst, t->members->n);
 }
 
 static bool is_ours(const struct fp_traffic *t, const char *org)
@@ -151,8 +152,8 @@
 
 	while ((l = *at)) {
 		for (i = 0; i < t->members->n; i++)
-			if (strcmp(t->members->members[i].peer_addr,
-				   l->addr) == 0)
+			if (strcmp(t->members->members[i].peer_addr, l->addr) ==
+			    0)
 				break;
 		if (i < t->members->n) {
 			at = &l->next;
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -28,8 +28,8 @@
 #define ASK_AGAIN_US	 (20 * FP_US_PER_MS)
 #define MAX_WAITING	 1024u
 /* After so long with an owner the equal part begins with a token. */
-#define SHARE_REST_US (2 * FP_US_PER_S)
-#define RETRY_AFTER_US	 FP_US_PER_S
+#define SHARE_REST_US  (2 * FP_US_PER_S)
+#define RETRY_AFTER_US FP_US_PER_S
 
 /** One organisation's tokens and the calls that wait for one. */
 struct org_tokens {
@@ -243,8 +243,8 @@
 static void refuse_hopeless(struct org_tokens *o, int64_t now_us,
 			    int64_t wait_us)
 {
-	int64_t patience_us = o->exhausted || o->alone ? FP_GRANT_WAIT_US :
-							 NO_OWNER_WAIT_US;
+	int64_t patience_us =
+		o->exhausted || o->alone ? FP_GRANT_WAIT_US : NO_OWNER_WAIT_US;
 
 	while (o->first &&
 	       o->first->started_us + patience_us < now_us + wait_us)
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -16,12 +16,13 @@
 #include "base/log.h"
 #include "node/owner.h"
 #include "node/traffic_private.h"
+#include "protocol/msg_crash.h"
 #include "protocol/msg_shared.h"
 
 #define TICK_US (10 * FP_US_PER_MS)
 /* How long a stopping node still takes connections, so that callers and other
  * nodes learn of it from its answers and not from a refused connection. */
-#define LAME_DUCK_US	    (2 * FP_US_PER_S)
+#define LAME_DUCK_US (2 * FP_US_PER_S)
 /* What the end of a process takes, before the kill. */
 #define KILL_MARGIN_US	    (400 * FP_US_PER_MS)
 #define FRAME_EXTRA_BYTES   (256u << 10)
@@ -107,6 +108,7 @@
 	struct fp_traffic *t = ctx;
 	struct fp_msg_reply r;
 	struct fp_msg_memory mem;
+	struct fp_msg_crash crash;
 	uint64_t corr;
 
 	switch (fp_msg_type(data, bytes)) {
@@ -119,6 +121,11 @@
 		call_reply(t, link, &r);
 		fp_msg_memory_end(&mem);
 		return;
+	case FP_MSG_CRASH:
+		if (fp_msg_crash_decode(data, bytes, &crash) != FP_OK)
+			break;
+		limits_crash(t, crash.fingerprint, crash.crash_id);
+		return;
 	case FP_MSG_CANCEL:
 		if (fp_msg_cancel_decode(data, bytes, &corr) != FP_OK)
 			break;
@@ -317,6 +324,32 @@
 	post(t, take_from_slice, b);
 }
 
+void traffic_tell_crash(struct fp_traffic *t, uint64_t fingerprint,
+			uint64_t crash_id)
+{
+	struct fp_msg_crash m = { fingerprint, crash_id };
+	struct fp_peer_link *link;
+	msgpack_sbuffer buf;
+	uint32_t i;
+
+	if (!t->hosted) {
+		t->hooks.crash(t->hooks.ctx, fingerprint, crash_id);
+		return;
+	}
+	msgpack_sbuffer_init(&buf);
+	fp_msg_crash_encode(&m, &buf);
+	for (i = 0; t->members && i < t->members->n; i++) {
+		if (t->members->members[i].id == t->node_id)
+			continue;
+		link = fp_peer_link_to(t->peers,
+				       t->members->members[i].peer_addr);
+		/* Who does not hear of it learns at the next crash. */
+		if (link)
+			fp_peer_send(link, buf.data, buf.size);
+	}
+	msgpack_sbuffer_destroy(&buf);
+}
+
 /* A crash handed over. */
 struct handed_crash {
 	uint64_t fingerprint;
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -122,6 +122,10 @@
 /** Finds a member by node id; NULL when there is none. */
 const struct fp_member *traffic_member(const struct fp_traffic *t, uint64_t id);
 
+/** Tells the fleet that a request was in flight when the worker crashed. */
+void traffic_tell_crash(struct fp_traffic *t, uint64_t fingerprint,
+			uint64_t crash_id);
+
 /* --- answer.c --- */
 
 /** Refuses an exchange; retry_after_us 0: no such header. */
--- a/src/node/worker.c
+++ b/src/node/worker.c
@@ -62,7 +62,7 @@
 		l->at_us = 0;
 		n++;
 		limits_crash(t, l->fingerprint, crash_id);
-		t->hooks.crash(t->hooks.ctx, l->fingerprint, crash_id);
+		traffic_tell_crash(t, l->fingerprint, crash_id);
 	}
 	fp_log(FP_LOG_WARN, "worker_crashed", "service=%s in_flight=%u",
 	       t->settings->service, n);
--- a/src/protocol/msg_crash.h
+++ b/src/protocol/msg_crash.h
@@ -11,7 +11,7 @@
 extern "C" {
 #endif
 
-/** Type number on the control net; 24..31 belong to this file. */
+/** Type number on both nets; 24..31 belong to this file. */
 enum fp_crash_msg_type { FP_MSG_CRASH = 24 };
 
 /** One request at one crash. */
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -139,7 +139,7 @@
 	  .unit = "hash",
 	  .valid = fp_hash_text_valid,
 	  .expected = FP_HASH_EXPECTED },
-	UINT("limits", "max_body_bytes", max_body_bytes, "bytes", KIB, 16 * MIB,
+	UINT("limits", "max_body_bytes", max_body_bytes, "bytes", KIB, 64 * MIB,
 	     "1048576"),
 	UINT("limits", "max_header_bytes", max_header_bytes, "bytes", KIB,
 	     64 * KIB, "16384"),
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -250,8 +250,8 @@
 	return MHD_YES;
 }
 
-static enum MHD_Result refuse(struct fp_http_exchange *x, int status,
-			      const char *reason)
+static enum MHD_Result refuse_with(struct fp_http_exchange *x, int status,
+				   const char *reason, bool close_after)
 {
 	struct fp_http_server *s = x->server;
 	struct MHD_Response *r;
@@ -262,12 +262,25 @@
 	r = MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
 	MHD_add_response_header(r, "Fulmar-Outcome", "not-run");
 	MHD_add_response_header(r, "Fulmar-Reason", reason);
+	if (close_after)
+		MHD_add_response_header(r, "Connection", "close");
 	rc = MHD_queue_response(x->conn, (unsigned int)status, r);
 	MHD_destroy_response(r);
 	x->state = SENDING;
 	return rc;
 }
 
+static enum MHD_Result refuse(struct fp_http_exchange *x, int status,
+			      const char *reason)
+{
+	return refuse_with(x, status, reason, false);
+}
+
+static enum MHD_Result refuse_and_close(struct fp_http_exchange *x)
+{
+	return refuse_with(x, 400, "malformed", true);
+}
+
 static enum MHD_Result queue_answer(struct fp_http_exchange *x)
 {
 	enum MHD_Result rc;
@@ -303,6 +316,34 @@
 	return MHD_YES;
 }
 
+/* How often the headers that end a body were given. */
+struct framing {
+	uint32_t lengths;
+	uint32_t encodings;
+};
+
+static enum MHD_Result count_framing(void *ctx, enum MHD_ValueKind kind,
+				     const char *name, const char *value)
+{
+	struct framing *f = ctx;
+
+	(void)kind;
+	(void)value;
+	if (strcasecmp(name, "Content-Length") == 0)
+		f->lengths++;
+	if (strcasecmp(name, "Transfer-Encoding") == 0)
+		f->encodings++;
+	return MHD_YES;
+}
+
+static bool framing_is_unclear(struct MHD_Connection *conn)
+{
+	struct framing f = { 0 };
+
+	MHD_get_connection_values(conn, MHD_HEADER_KIND, count_framing, &f);
+	return f.lengths + f.encodings > 1;
+}
+
 static enum MHD_Result on_access(void *ctx, struct MHD_Connection *conn,
 				 const char *url, const char *method,
 				 const char *version, const char *data,
@@ -312,13 +353,15 @@
 	enum MHD_Result rc;
 
 	(void)ctx;
-	(void)conn;
 	(void)url;
 	(void)version;
 	if (!x)
 		return MHD_NO;
 	if (!x->method[0]) {
 		snprintf(x->method, sizeof(x->method), "%s", method);
+		/* Where the body ends must not depend on who reads it. */
+		if (framing_is_unclear(conn))
+			return refuse_and_close(x);
 		return MHD_YES;
 	}
 	if (x->state == ANSWERED)
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -285,7 +285,7 @@
 		};
 		struct fp_directory_ops told = {};
 
-		fp_log_setup(FP_LOG_ERROR, nullptr);
+		fp_log_setup(FP_LOG_ERROR, 2);
 		fp_manual_clock_init(&clock, 1000000);
 		ASSERT_EQ(FP_OK, fp_loop_init(&clock.clock, &loop));
 		store.registry.ops = &ops;
--- /dev/null
+++ b/test/test_log.cc
@@ -0,0 +1,120 @@
+/* test_log.cc - lines are bounded a kind, and a full pipe stops nobody */
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <string>
+
+#include "base/log.h"
+
+namespace
+{
+
+class Log : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		ASSERT_EQ(0, pipe(fds));
+		fcntl(fds[0], F_SETFL, O_NONBLOCK);
+		fp_log_setup(FP_LOG_INFO, fds[1]);
+	}
+
+	void TearDown() override
+	{
+		fp_log_setup(FP_LOG_INFO, 2);
+		close(fds[0]);
+		close(fds[1]);
+	}
+
+	std::string drain()
+	{
+		std::string got;
+		char buf[65536];
+		ssize_t n;
+
+		while ((n = read(fds[0], buf, sizeof(buf))) > 0)
+			got.append(buf, (size_t)n);
+		return got;
+	}
+
+	static size_t count(const std::string &text, const std::string &what)
+	{
+		size_t n = 0;
+
+		for (size_t at = 0;
+		     (at = text.find(what, at)) != std::string::npos; at++)
+			n++;
+		return n;
+	}
+
+	int fds[2];
+};
+
+TEST_F(Log, ALineHasTimeLevelEventAndFields)
+{
+	fp_log(FP_LOG_WARN, "something", "id=%d why=%s", 7, "none");
+	fp_log(FP_LOG_DEBUG, "unseen", "x=1");
+	std::string got = drain();
+
+	EXPECT_EQ(0u, got.find("time=20"));
+	EXPECT_NE(std::string::npos,
+		  got.find("level=warn event=something id=7 why=none\n"));
+	EXPECT_EQ(std::string::npos, got.find("unseen"));
+}
+
+TEST_F(Log, AFloodOfOneKindLeavesTheOthers)
+{
+	for (int i = 0; i < 5000; i++) {
+		fp_log(FP_LOG_INFO, "flood", "i=%d", i);
+		if (i % 100 == 0)
+			drain();
+	}
+	fp_log(FP_LOG_INFO, "other", "x=1");
+	std::string got = drain();
+
+	EXPECT_LE(count(got, "event=flood"), 110u);
+	EXPECT_EQ(1u, count(got, "event=other"));
+	usleep(1100000);
+	fp_log(FP_LOG_INFO, "other", "x=2");
+	got = drain();
+	EXPECT_EQ(1u, count(got, "event=log_left_out of=flood lines="));
+}
+
+/* Nobody reads; the writer goes on, and says later what is missing. */
+TEST_F(Log, AFullPipeStopsNobodyAndIsCounted)
+{
+	std::string long_text(900, 'x');
+	char name[16];
+	auto began = std::chrono::steady_clock::now();
+
+	for (int i = 0; i < 1000; i++) {
+		snprintf(name, sizeof(name), "kind%d", i % 50);
+		fp_log(FP_LOG_INFO, name, "text=%s", long_text.c_str());
+	}
+	EXPECT_LT(std::chrono::steady_clock::now() - began,
+		  std::chrono::seconds(1));
+	size_t whole = count(drain(), "event=kind");
+	EXPECT_LT(whole, 1000u);
+	fp_log(FP_LOG_INFO, "after", "x=1");
+	std::string got = drain();
+	EXPECT_NE(std::string::npos,
+		  got.find("event=log_unwritten lines=" +
+			   std::to_string(1000 - whole) + "\n"))
+		<< got;
+}
+
+TEST_F(Log, ALongLineIsCutAndEnds)
+{
+	std::string long_text(5000, 'x');
+
+	fp_log(FP_LOG_INFO, "long", "text=%s", long_text.c_str());
+	std::string got = drain();
+
+	EXPECT_LT(got.size(), 1300u);
+	EXPECT_EQ('\n', got.back());
+}
+
+} // namespace
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -134,7 +134,7 @@
 	  node + store + "kind = \"leases\"\n",
 	  ":1: [backend] address: expected IP:PORT with store.kind" },
 	{ "too small", whole + "[limits]\nmax_body_bytes = 1023\n",
-	  ":12: [limits] max_body_bytes: expected integer 1024 to 16777216, "
+	  ":12: [limits] max_body_bytes: expected integer 1024 to 67108864, "
 	  "got 1023" },
 	{ "no section", node + fleet, ":1: [store] url: expected a URL" },
 	{ "required", whole.substr(0, whole.find("url")) + fleet,
