--- a/src/state/early.c
+++ b/src/state/early.c
@@ -46,8 +46,8 @@
 #define SMOOTHED_S   1.0 /* smoothing of the shares by the workers */
 #define LEAD_S	     0.15 /* lag that is left of it */
 #define SHRINK_S     0.5 /* time constant of shrinking */
-#define GROW_CUBIC   1.0 /* growth of the logarithm by the cube of seconds */
-#define PASS_MIN     0.01 /* passes always, so that the end is seen */
+#define GROW_CUBIC   0.5 /* growth of the logarithm by the cube of seconds */
+#define PASS_MIN     0.005 /* passes always, so that the end is seen */
 #define CALLS_WEIGHT 8 /* smoothing of the calls of a route, in answers */
 #define CALLS_MIN    0.01 /* fewer mean calls are forgotten */
 #define CALLS_MAX    8.0 /* greatest power */
