Shedding by the organisation's class first, then by the route's

Rank: nine places by both classes, in admission, early refusal and levels; the product's three classes stay what callers and reports see.

--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -220,6 +220,7 @@
 	call_set_route(c, route);
 	c->msg.nested = true;
 	c->msg.cls = up.cls;
+	c->msg.rank = up.rank;
 	c->msg.org_weight = up.org_weight;
 	c->msg.depth = up.depth + 1;
 	c->msg.fingerprint = up.fingerprint;
@@ -298,6 +299,7 @@
 							0);
 		return;
 	}
+	c->msg.rank = fp_rank(c->msg.cls, route->cls);
 	randombytes_buf(c->msg.root, sizeof(c->msg.root));
 	set_deadline(c, r, c->started_us + route->deadline_ms * FP_US_PER_MS);
 	c->msg.fingerprint = fingerprint(c);
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -165,6 +165,7 @@
 	memcpy(out->org, e->msg.org, sizeof(out->org));
 	out->org_weight = e->msg.org_weight;
 	out->cls = e->msg.cls;
+	out->rank = e->msg.rank;
 	out->deadline_us = e->deadline_us;
 	out->depth = e->msg.depth;
 	out->fingerprint = e->msg.fingerprint;
@@ -211,7 +212,7 @@
 		return;
 	if (to->calls <= UINT16_MAX - from->calls)
 		to->calls = (uint16_t)(to->calls + from->calls);
-	for (c = 0; c < FP_CLASS_COUNT; c++)
+	for (c = 0; c < FP_RANK_COUNT; c++)
 		if (from->refused_permille[c] > to->refused_permille[c])
 			to->refused_permille[c] = from->refused_permille[c];
 }
@@ -550,7 +551,7 @@
 {
 	struct fp_traffic *t = e->t;
 	struct fp_admission_request r = { .id = e->admission_id,
-					  .cls = e->msg.cls,
+					  .rank = e->msg.rank,
 					  .org = UINT32_MAX,
 					  .org_weight = e->msg.org_weight,
 					  .nested = e->msg.nested,
--- a/src/node/limits.c
+++ b/src/node/limits.c
@@ -170,7 +170,7 @@
 	if (t->settings->overload_off)
 		return FP_REASON_NONE;
 	if (shed_by_preset(c) ||
-	    fp_early_check(t->early, c->msg.route, c->msg.cls,
+	    fp_early_check(t->early, c->msg.route, c->msg.rank,
 			   randombytes_random(), now_us, &c->blame) != FP_OK)
 		return FP_REASON_SHED_EARLY;
 	if (print &&
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -215,6 +215,7 @@
 	char org[FP_NAME_BYTES];
 	uint32_t org_weight;
 	enum fp_class cls;
+	uint8_t rank;
 	int64_t deadline_us;
 	uint32_t depth;
 	uint64_t fingerprint;
--- a/src/protocol/msg_call.c
+++ b/src/protocol/msg_call.c
@@ -5,11 +5,11 @@
 #include <string.h>
 #include <strings.h>
 
-#define CALL_FIELDS   19
+#define CALL_FIELDS   20
 #define REPLY_FIELDS  11
 #define CANCEL_FIELDS 2
-#define LEVEL_FIELDS  (4 + FP_CLASS_COUNT)
-#define TOUCH_FIELDS  (2 + FP_CLASS_COUNT)
+#define LEVEL_FIELDS  (4 + FP_RANK_COUNT)
+#define TOUCH_FIELDS  (2 + FP_RANK_COUNT)
 
 #define HEADER_NAME_BYTES  256
 #define HEADER_VALUE_BYTES 16384
@@ -48,6 +48,7 @@
 	fp_put_text(&pk, m->org);
 	msgpack_pack_uint32(&pk, m->org_weight);
 	msgpack_pack_uint32(&pk, m->cls);
+	msgpack_pack_uint8(&pk, m->rank);
 	fp_put_bool(&pk, m->nested);
 	fp_put_bool(&pk, m->once);
 	fp_put_text(&pk, m->route);
@@ -71,7 +72,7 @@
 	msgpack_pack_uint32(pk, l->running);
 	msgpack_pack_uint32(pk, l->queued);
 	msgpack_pack_uint32(pk, l->delay_us);
-	for (i = 0; i < FP_CLASS_COUNT; i++)
+	for (i = 0; i < FP_RANK_COUNT; i++)
 		msgpack_pack_uint16(pk, l->refused_permille[i]);
 }
 
@@ -82,7 +83,7 @@
 	msgpack_pack_array(pk, TOUCH_FIELDS);
 	fp_put_text(pk, t->service);
 	msgpack_pack_uint16(pk, t->calls);
-	for (c = 0; c < FP_CLASS_COUNT; c++)
+	for (c = 0; c < FP_RANK_COUNT; c++)
 		msgpack_pack_uint16(pk, t->refused_permille[c]);
 }
 
@@ -185,6 +186,7 @@
 	fp_read_text(&r, m->org, sizeof(m->org));
 	m->org_weight = (uint32_t)fp_read_u64(&r, UINT32_MAX);
 	m->cls = (enum fp_class)fp_read_u64(&r, FP_CLASS_COUNT - 1);
+	m->rank = (uint8_t)fp_read_u64(&r, FP_RANK_COUNT - 1);
 	m->nested = fp_read_bool(&r);
 	m->once = fp_read_bool(&r);
 	fp_read_text(&r, m->route, sizeof(m->route));
@@ -212,7 +214,7 @@
 			r->bad = true;
 		fp_read_text(r, t->service, FP_NAME_BYTES);
 		t->calls = (uint16_t)fp_read_u64(r, UINT16_MAX);
-		for (c = 0; c < FP_CLASS_COUNT; c++)
+		for (c = 0; c < FP_RANK_COUNT; c++)
 			t->refused_permille[c] = (uint16_t)fp_read_u64(r, 1000);
 	}
 }
@@ -227,7 +229,7 @@
 	l->running = (uint32_t)fp_read_u64(r, UINT32_MAX);
 	l->queued = (uint32_t)fp_read_u64(r, UINT32_MAX);
 	l->delay_us = (uint32_t)fp_read_u64(r, UINT32_MAX);
-	for (i = 0; i < FP_CLASS_COUNT; i++)
+	for (i = 0; i < FP_RANK_COUNT; i++)
 		l->refused_permille[i] = (uint16_t)fp_read_u64(r, 1000);
 }
 
--- a/src/protocol/msg_call.h
+++ b/src/protocol/msg_call.h
@@ -49,6 +49,7 @@
 	char org[FP_NAME_BYTES]; /**< "" on open routes */
 	uint32_t org_weight;
 	enum fp_class cls;
+	uint8_t rank; /**< place in the order of shedding, see fp_rank */
 	bool nested;
 	bool once; /**< not idempotent: never sent again */
 	char route[FP_NAME_BYTES];
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -101,11 +101,11 @@
 	struct flow *prev;
 	uint64_t tag; /* virtual start time of its next request */
 	uint32_t weight;
-	enum fp_class cls;
+	uint8_t rank; /* rank of its requests */
 	struct fifo queue[KINDS];
 };
 
-struct class_state {
+struct rank_state {
 	struct flow *waiting; /* flows that have a queue */
 	struct flow **flows; /* by organisation; made on first use */
 	uint32_t n_flows;
@@ -120,7 +120,7 @@
 struct fp_admission {
 	struct fp_admission_params p;
 	struct fp_admission_sink sink;
-	struct class_state cls[FP_CLASS_COUNT];
+	struct rank_state ranks[FP_RANK_COUNT];
 	struct fifo fifo; /* order of the baseline */
 	struct waiter *index[HASH_SLOTS];
 	uint32_t limit;
@@ -211,7 +211,7 @@
 static struct flow *find_flow(struct fp_admission *a,
 			      const struct fp_admission_request *r)
 {
-	struct class_state *c = &a->cls[r->cls];
+	struct rank_state *c = &a->ranks[r->rank];
 	struct flow **grown;
 
 	if (r->org >= MAX_ORGS)
@@ -228,14 +228,14 @@
 	if (!c->flows[r->org])
 		c->flows[r->org] = calloc(1, sizeof(struct flow));
 	if (c->flows[r->org]) {
-		c->flows[r->org]->cls = r->cls;
+		c->flows[r->org]->rank = r->rank;
 		c->flows[r->org]->weight = r->org_weight ? r->org_weight : 1;
 	}
 	return c->flows[r->org];
 }
 
 /* Bounds how far an idle flow may lag behind the others. */
-static void limit_credit(const struct class_state *c, struct flow *f)
+static void limit_credit(const struct rank_state *c, struct flow *f)
 {
 	uint64_t credit = CREDIT_REQUESTS * flow_cost(f);
 
@@ -243,7 +243,7 @@
 		f->tag = c->vtime - credit;
 }
 
-static void flow_list_add(struct class_state *c, struct flow *f)
+static void flow_list_add(struct rank_state *c, struct flow *f)
 {
 	limit_credit(c, f);
 	f->prev = NULL;
@@ -253,7 +253,7 @@
 	c->waiting = f;
 }
 
-static void flow_list_remove(struct class_state *c, struct flow *f)
+static void flow_list_remove(struct rank_state *c, struct flow *f)
 {
 	if (f->prev)
 		f->prev->next = f->next;
@@ -265,7 +265,7 @@
 
 static void enqueue(struct fp_admission *a, struct waiter *w)
 {
-	struct class_state *c = &a->cls[w->flow->cls];
+	struct rank_state *c = &a->ranks[w->flow->rank];
 	struct waiter **chain = chain_of(a, w->id);
 
 	if (a->p.off) {
@@ -283,7 +283,7 @@
 
 static void dequeue(struct fp_admission *a, struct waiter *w)
 {
-	struct class_state *c = &a->cls[w->flow->cls];
+	struct rank_state *c = &a->ranks[w->flow->rank];
 
 	if (a->p.off) {
 		fifo_remove(&a->fifo, w);
@@ -425,12 +425,12 @@
 
 static void close_share_window(struct fp_admission *a)
 {
-	struct class_state *c;
+	struct rank_state *c;
 	uint32_t permille;
 	int i;
 
-	for (i = 0; i < FP_CLASS_COUNT; i++) {
-		c = &a->cls[i];
+	for (i = 0; i < FP_RANK_COUNT; i++) {
+		c = &a->ranks[i];
 		permille = c->offered ? c->refused * 1000 / c->offered : 0;
 		if (permille > 1000)
 			permille = 1000;
@@ -505,7 +505,7 @@
 {
 	uint64_t id = w->id;
 
-	a->cls[w->flow->cls].refused++;
+	a->ranks[w->flow->rank].refused++;
 	dequeue(a, w);
 	free(w);
 	a->sink.refuse(a->sink.ctx, id, why);
@@ -514,7 +514,7 @@
 static void start(struct fp_admission *a, struct waiter *w, int64_t now_us)
 {
 	struct flow *f = w->flow;
-	struct class_state *c = &a->cls[f->cls];
+	struct rank_state *c = &a->ranks[f->rank];
 	uint64_t id = w->id;
 
 	limit_credit(c, f);
@@ -531,7 +531,7 @@
 	a->sink.start(a->sink.ctx, id, now_us);
 }
 
-static struct waiter *next_of_kind(const struct class_state *c, int kind)
+static struct waiter *next_of_kind(const struct rank_state *c, int kind)
 {
 	const struct flow *best = NULL;
 	const struct flow *f;
@@ -549,10 +549,10 @@
 
 	if (a->p.off)
 		return a->fifo.head;
-	for (i = 0; i < FP_CLASS_COUNT; i++) {
-		w = next_of_kind(&a->cls[i], KIND_NESTED);
+	for (i = 0; i < FP_RANK_COUNT; i++) {
+		w = next_of_kind(&a->ranks[i], KIND_NESTED);
 		if (!w)
-			w = next_of_kind(&a->cls[i], KIND_ROOT);
+			w = next_of_kind(&a->ranks[i], KIND_ROOT);
 		if (w)
 			return w;
 	}
@@ -565,7 +565,7 @@
 	return f->tag + (flow_queued(f) - 1) * flow_cost(f);
 }
 
-static struct waiter *last_of_kind(const struct class_state *c, int kind)
+static struct waiter *last_of_kind(const struct rank_state *c, int kind)
 {
 	const struct flow *worst = NULL;
 	const struct flow *f;
@@ -585,10 +585,10 @@
 
 	if (a->p.off)
 		return a->fifo.tail;
-	for (i = FP_CLASS_COUNT - 1; i >= 0; i--) {
-		w = last_of_kind(&a->cls[i], KIND_ROOT);
+	for (i = FP_RANK_COUNT - 1; i >= 0; i--) {
+		w = last_of_kind(&a->ranks[i], KIND_ROOT);
 		if (!w)
-			w = last_of_kind(&a->cls[i], KIND_NESTED);
+			w = last_of_kind(&a->ranks[i], KIND_NESTED);
 		if (w)
 			return w;
 	}
@@ -638,7 +638,7 @@
 			refuse(a, w, FP_REASON_OVERLOADED);
 			continue;
 		}
-		a->cls[w->flow->cls].refused++;
+		a->ranks[w->flow->rank].refused++;
 		dequeue(a, w);
 		free(w);
 		lost = true;
@@ -662,8 +662,8 @@
 	}
 }
 
-static void expire_class(struct fp_admission *a, struct class_state *c,
-			 int64_t now_us)
+static void expire_rank(struct fp_admission *a, struct rank_state *c,
+			int64_t now_us)
 {
 	struct flow *f = c->waiting;
 	struct flow *next;
@@ -690,11 +690,11 @@
 	a->sink = *sink;
 	a->limit = ceiling(p);
 	a->cut_us = INT64_MIN;
-	for (i = 0; i < FP_CLASS_COUNT; i++) {
+	for (i = 0; i < FP_RANK_COUNT; i++) {
 		/* So a flow that was never seen has its whole credit. */
-		a->cls[i].vtime = CREDIT_REQUESTS * UNIT;
-		a->cls[i].open.cls = (enum fp_class)i;
-		a->cls[i].open.weight = OPEN_WEIGHT;
+		a->ranks[i].vtime = CREDIT_REQUESTS * UNIT;
+		a->ranks[i].open.rank = (uint8_t)i;
+		a->ranks[i].open.weight = OPEN_WEIGHT;
 	}
 	return a;
 }
@@ -739,11 +739,11 @@
 	struct waiter *w;
 
 	roll_shares(a, now_us);
-	a->cls[r->cls].offered++;
+	a->ranks[r->rank].offered++;
 	f = find_flow(a, r);
 	w = f ? calloc(1, sizeof(*w)) : NULL;
 	if (!w) {
-		a->cls[r->cls].refused++;
+		a->ranks[r->rank].refused++;
 		return FP_FULL;
 	}
 	w->flow = f;
@@ -796,8 +796,8 @@
 	roll_shares(a, now_us);
 	roll_limit(a, now_us);
 	if (!a->p.off) {
-		for (i = 0; i < FP_CLASS_COUNT; i++)
-			expire_class(a, &a->cls[i], now_us);
+		for (i = 0; i < FP_RANK_COUNT; i++)
+			expire_rank(a, &a->ranks[i], now_us);
 		shorten(a, NULL, now_us);
 	}
 	pump(a, now_us);
@@ -812,9 +812,9 @@
 	level->running = a->running;
 	level->queued = a->queued;
 	level->delay_us = (uint32_t)a->delay_us;
-	for (i = 0; i < FP_CLASS_COUNT; i++)
+	for (i = 0; i < FP_RANK_COUNT; i++)
 		level->refused_permille[i] =
-			(uint16_t)a->cls[i].refused_permille;
+			(uint16_t)a->ranks[i].refused_permille;
 }
 
 void fp_admission_end(struct fp_admission *a)
@@ -829,10 +829,10 @@
 		dequeue(a, w);
 		free(w);
 	}
-	for (c = 0; c < FP_CLASS_COUNT; c++) {
-		for (i = 0; i < a->cls[c].n_flows; i++)
-			free(a->cls[c].flows[i]);
-		free(a->cls[c].flows);
+	for (c = 0; c < FP_RANK_COUNT; c++) {
+		for (i = 0; i < a->ranks[c].n_flows; i++)
+			free(a->ranks[c].flows[i]);
+		free(a->ranks[c].flows);
 	}
 	free(a);
 }
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -26,7 +26,7 @@
 /** One request as admission sees it. */
 struct fp_admission_request {
 	uint64_t id; /**< chosen by the caller of this module */
-	enum fp_class cls;
+	uint8_t rank; /**< see fp_rank */
 	uint32_t org; /**< index of the organisation, UINT32_MAX: open */
 	uint32_t org_weight; /**< its rate; shares are in this proportion;
 			      *   open requests together weigh 10 */
@@ -88,7 +88,7 @@
 	uint32_t queued; /**< waiting */
 	uint32_t delay_us; /**< smoothed queue delay */
 	/** Share of each class's demand refused lately, permille. */
-	uint16_t refused_permille[FP_CLASS_COUNT];
+	uint16_t refused_permille[FP_RANK_COUNT];
 };
 
 void fp_admission_read_level(const struct fp_admission *a,
--- a/src/state/early.c
+++ b/src/state/early.c
@@ -55,7 +55,7 @@
 struct worker_level {
 	uint64_t id;
 	int64_t heard_us;
-	uint16_t refused_permille[FP_CLASS_COUNT];
+	uint16_t refused_permille[FP_RANK_COUNT];
 };
 
 struct service {
@@ -63,12 +63,12 @@
 	char name[FP_NAME_BYTES];
 	int64_t heard_us; /* newest level */
 	int64_t stepped_us; /* last change of the shares */
-	double pass[FP_CLASS_COUNT]; /* share that may pass */
+	double pass[FP_RANK_COUNT]; /* share that may pass */
 	/* since more than the aim was refused; 0 while it is */
-	double quiet_s[FP_CLASS_COUNT];
-	double peak[FP_CLASS_COUNT]; /* logarithm at which refusals began */
-	double low[FP_CLASS_COUNT]; /* logarithm at which they ended */
-	double late[FP_CLASS_COUNT]; /* refused share, smoothed again */
+	double quiet_s[FP_RANK_COUNT];
+	double peak[FP_RANK_COUNT]; /* logarithm at which refusals began */
+	double low[FP_RANK_COUNT]; /* logarithm at which they ended */
+	double late[FP_RANK_COUNT]; /* refused share, smoothed again */
 	struct worker_level workers[MAX_WORKERS];
 	uint32_t n_workers;
 };
@@ -139,7 +139,7 @@
 	s->hash = hash;
 	strncpy(s->name, name, FP_NAME_BYTES - 1);
 	s->stepped_us = now_us;
-	for (i = 0; i < FP_CLASS_COUNT; i++) {
+	for (i = 0; i < FP_RANK_COUNT; i++) {
 		s->pass[i] = 1;
 		s->quiet_s[i] = MAX_STEP_US / 1e6;
 	}
@@ -239,7 +239,7 @@
 		step_us = MAX_STEP_US;
 	step_s = (double)step_us / 1e6;
 	s->stepped_us = now_us;
-	for (i = 0; i < FP_CLASS_COUNT; i++) {
+	for (i = 0; i < FP_RANK_COUNT; i++) {
 		refused = refused_now(s, i, step_s, now_us);
 		step_pass(s, i, refused, room, step_s);
 		room = s->pass[i];
@@ -247,7 +247,7 @@
 }
 
 void fp_early_level(struct fp_early *e, const char *service, uint64_t worker,
-		    const uint16_t refused_permille[FP_CLASS_COUNT],
+		    const uint16_t refused_permille[FP_RANK_COUNT],
 		    int64_t now_us)
 {
 	uint64_t hash = hash_name(service);
@@ -356,7 +356,7 @@
 }
 
 enum fp_status fp_early_check(struct fp_early *e, const char *route,
-			      enum fp_class cls, uint32_t draw, int64_t now_us,
+			      uint8_t rank, uint32_t draw, int64_t now_us,
 			      const char **service)
 {
 	const struct route *r = find_route(e, hash_name(route));
@@ -370,7 +370,7 @@
 		if (!s)
 			continue;
 		step_service(s, now_us);
-		pass = pow(s->pass[cls], fmin(r->touched[i].calls, CALLS_MAX));
+		pass = pow(s->pass[rank], fmin(r->touched[i].calls, CALLS_MAX));
 		pass = fmax(pass, PASS_MIN);
 		if (pass < least) {
 			least = pass;
--- a/src/state/early.h
+++ b/src/state/early.h
@@ -22,7 +22,7 @@
 	char service[FP_NAME_BYTES];
 	uint16_t calls;
 	/** What that service refuses lately, as seen where it was called. */
-	uint16_t refused_permille[FP_CLASS_COUNT];
+	uint16_t refused_permille[FP_RANK_COUNT];
 };
 
 struct fp_early *fp_early_init(void);
@@ -38,7 +38,7 @@
  * @param refused_permille  per class, as in fp_admission_level
  */
 void fp_early_level(struct fp_early *e, const char *service, uint64_t worker,
-		    const uint16_t refused_permille[FP_CLASS_COUNT],
+		    const uint16_t refused_permille[FP_RANK_COUNT],
 		    int64_t now_us);
 
 /**
@@ -51,7 +51,7 @@
  * @return FP_OK, or FP_EXHAUSTED with *service set to the one that refuses
  */
 enum fp_status fp_early_check(struct fp_early *e, const char *route,
-			      enum fp_class cls, uint32_t draw, int64_t now_us,
+			      uint8_t rank, uint32_t draw, int64_t now_us,
 			      const char **service);
 
 void fp_early_end(struct fp_early *e);
--- a/src/state/types.h
+++ b/src/state/types.h
@@ -27,6 +27,17 @@
 	FP_CLASS_COUNT
 };
 
+/**
+ * Place of a request in the order of shedding, 0 being shed last: by its class,
+ * which may be its organisation's, then by that of its route.
+ */
+#define FP_RANK_COUNT (FP_CLASS_COUNT * FP_CLASS_COUNT)
+
+static inline uint8_t fp_rank(enum fp_class request, enum fp_class route)
+{
+	return (uint8_t)((int)request * FP_CLASS_COUNT + (int)route);
+}
+
 /** What is known of a request's execution; always true when said. */
 enum fp_outcome {
 	FP_OUTCOME_RAN, /**< a backend server ran it to an answer */
--- a/test/sim_worker.h
+++ b/test/sim_worker.h
@@ -148,7 +148,7 @@
 		r.left_us = c.run_us * (0.5 + random.unit());
 		live[id] = r;
 		q.id = id;
-		q.cls = c.cls;
+		q.rank = c.cls;
 		q.org = c.org;
 		q.org_weight = c.weight;
 		q.nested = c.nested;
