--- a/test/test_config.cc
+++ b/test/test_config.cc
@@ -271,8 +271,8 @@
 		ASSERT_NE(nullptr, r) << t.path;
 		EXPECT_STREQ(t.want, r->name);
 	}
-	EXPECT_EQ(nullptr, fp_config_find_route(&c, "three.example", "GET",
-						"/a/x"));
+	EXPECT_EQ(nullptr,
+		  fp_config_find_route(&c, "three.example", "GET", "/a/x"));
 }
 
 TEST(Config, SplitsFollowTheirWeights)
--- a/test/test_e2e_red_frozen.cc
+++ b/test/test_e2e_red_frozen.cc
@@ -17,3 +17,26 @@
 	fleet_process_signal(&f->vms[0]->node, SIGCONT);
 	EXPECT_EQ(10, good) << seen;
 }
+
+TEST_F(Calls, FrozenNodeWithFewerSlicesCostsAShareOfTheDeadlineOnly)
+{
+	const int frozen = metric(0, "fulmar_slices_primary") >
+					   metric(1, "fulmar_slices_primary") ?
+				   1 :
+				   0;
+	std::string seen;
+	int good = 0;
+
+	ASSERT_TRUE(wait_until(
+		[&] { return metric(0, "fulmar_slices_primary") > 0; }, 5000));
+	fleet_process_signal(&f->vms[frozen]->node, SIGSTOP);
+	for (int i = 0; i < 10; i++) {
+		Answer a = call(2, "GET", "/rota/week", keys["parish"]);
+
+		good += a.status == 200;
+		seen += " " + std::to_string(a.status) + a.reason + a.outcome;
+		EXPECT_LT(a.latency_us, 2100000);
+	}
+	fleet_process_signal(&f->vms[frozen]->node, SIGCONT);
+	EXPECT_EQ(10, good) << seen;
+}
--- a/test/test_early.cc
+++ b/test/test_early.cc
@@ -46,8 +46,8 @@
 			return draw / 4294967296.0 >=
 			       std::min(0.9, refused / 1000.0);
 		return way == OFF ||
-		       fp_early_check(e, "route", (uint8_t)c.cls, draw, s.now_us,
-				      &service) == FP_OK;
+		       fp_early_check(e, "route", (uint8_t)c.cls, draw,
+				      s.now_us, &service) == FP_OK;
 	};
 	s.add(FP_CLASS_IMPORTANT, 0, 100, 400, 20000, 300000, 0);
 	s.add(FP_CLASS_NORMAL, 1, 100, 200, 20000, 300000, 3);
