--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -49,6 +49,7 @@
 enum cmd_exit cmd_preset_use(const struct cmd_options *o);
 enum cmd_exit cmd_status(const struct cmd_options *o);
 enum cmd_exit cmd_report(const struct cmd_options *o);
+enum cmd_exit cmd_explain(const struct cmd_options *o);
 enum cmd_exit cmd_version(const struct cmd_options *o);
 
 /**
--- /dev/null
+++ b/src/cmd/cmd_explain.c
@@ -0,0 +1,141 @@
+/*
+ * cmd_explain.c - the story of one request out of the logs of several nodes
+ *
+ * Lines of the request, of the requests that it was made for and of those made
+ * for it are put in order of time. Nested requests are told by their ids: the
+ * id of one begins with that of the request that makes it, and a dot.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cmd/cmd.h"
+
+#define TIME_CHARS 27 /* 2026-01-27T02:25:39.555803Z */
+
+/* One line of a log. */
+struct line {
+	char *text; /* from "time=" on */
+	const char *file;
+	size_t order; /* as read, for lines of the same time */
+};
+
+struct story {
+	struct line *lines;
+	size_t n;
+	size_t n_read;
+};
+
+/* Whether one id is the other, or begins with it and a dot. */
+static bool is_within(const char *id, size_t id_chars, const char *of,
+		      size_t of_chars)
+{
+	return id_chars >= of_chars && memcmp(id, of, of_chars) == 0 &&
+	       (id_chars == of_chars || id[of_chars] == '.');
+}
+
+static bool is_of(const char *text, const char *id)
+{
+	const char *at = strstr(text, " id=");
+	size_t n = strlen(id);
+	size_t chars;
+
+	if (!at)
+		return false;
+	at += strlen(" id=");
+	chars = strcspn(at, " \n");
+	return is_within(at, chars, id, n) || is_within(id, n, at, chars);
+}
+
+static void keep(struct story *s, const char *text, const char *file)
+{
+	struct line *l;
+
+	s->lines = reallocarray(s->lines, s->n + 1, sizeof(*s->lines));
+	if (!s->lines)
+		abort();
+	l = &s->lines[s->n++];
+	l->text = strndup(text, strcspn(text, "\n"));
+	l->file = file;
+	l->order = s->n;
+	if (!l->text)
+		abort();
+}
+
+static bool read_log(struct story *s, const char *path, const char *id)
+{
+	FILE *in = fopen(path, "r");
+	char *text = NULL;
+	size_t size = 0;
+	const char *at;
+
+	if (!in)
+		return false;
+	while (getline(&text, &size, in) > 0) {
+		at = strstr(text, "time=");
+		s->n_read++;
+		if (at && is_of(at, id))
+			keep(s, at, path);
+	}
+	free(text);
+	fclose(in);
+	return true;
+}
+
+static int compare(const void *a, const void *b)
+{
+	const struct line *x = a;
+	const struct line *y = b;
+	int order = strncmp(x->text, y->text, strlen("time=") + TIME_CHARS);
+
+	if (order)
+		return order;
+	return x->order < y->order ? -1 : 1;
+}
+
+static void print(const struct cmd_options *o, const struct story *s)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < s->n; i++) {
+		if (o->json)
+			json_array_append_new(
+				list,
+				json_pack("{s:s,s:s}", "log", s->lines[i].file,
+					  "line", s->lines[i].text));
+		else
+			printf("%s: %s\n", s->lines[i].file, s->lines[i].text);
+	}
+	if (o->json)
+		cmd_print_json(json_pack("{s:O}", "lines", list), CMD_DONE);
+	json_decref(list);
+}
+
+enum cmd_exit cmd_explain(const struct cmd_options *o)
+{
+	struct story s = { 0 };
+	enum cmd_exit rc = CMD_DONE;
+	size_t i;
+	int f;
+
+	for (f = 1; f < o->n_args && rc == CMD_DONE; f++)
+		if (!read_log(&s, o->args[f], o->args[0]))
+			rc = cmd_fail(o, CMD_USAGE, "%s: cannot be read",
+				      o->args[f]);
+	if (rc == CMD_DONE && !s.n)
+		rc = cmd_fail(
+			o, CMD_REFUSED,
+			"no line of request %s among %zu: it was answered "
+			"well and in time, or its lines were left out "
+			"(event=log_left_out)",
+			o->args[0], s.n_read);
+	if (rc == CMD_DONE) {
+		qsort(s.lines, s.n, sizeof(*s.lines), compare);
+		print(o, &s);
+	}
+	for (i = 0; i < s.n; i++)
+		free(s.lines[i].text);
+	free(s.lines);
+	return rc;
+}
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -13,6 +13,7 @@
 #define TAKES_FORCE    4u
 #define TAKES_SETTINGS 8u
 #define TAKES_HTML     16u
+#define TAKES_FILES    32u /* an argument and files, no fixed number */
 
 /** One command of one or two words. */
 struct command {
@@ -52,6 +53,8 @@
 	  "show nodes, workers, slices, configuration and store" },
 	{ "report", NULL, NULL, TAKES_NODE | TAKES_HTML, cmd_report,
 	  "show service levels, what burns their budgets, and overload" },
+	{ "explain", NULL, "ID LOG...", TAKES_FILES, cmd_explain,
+	  "tell a request's story from the logs of nodes" },
 	{ "version", NULL, NULL, 0, cmd_version, "show the version" },
 };
 
@@ -237,7 +240,8 @@
 {
 	const struct cmd_options *o = &r->options;
 
-	if (o->n_args != (c->arg ? 1 : 0))
+	if (c->takes & TAKES_FILES ? o->n_args < 2 :
+				     o->n_args != (c->arg ? 1 : 0))
 		return cmd_fail(o, CMD_USAGE, "%s: expected %s, see --help",
 				c->word, c->arg ? c->arg : "no argument");
 	if (r->given & ~c->takes)
--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -24,6 +24,7 @@
 #include <inttypes.h>
 #include <jansson.h>
 #include <sodium.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -35,7 +36,7 @@
 /* Times, in microseconds. */
 #define CONFIG_EVERY_US FP_US_PER_S /* half of the time to put it in force */
 #define OTHERS_WAIT_US	(20 * FP_US_PER_S) /* below the store's 30 s */
-#define OTHERS_PAUSE_US (250 * FP_US_PER_MS) /* gathers changes of a moment */
+#define OTHERS_PAUSE_US (400 * FP_US_PER_MS) /* gathers changes of a moment */
 #define LEASE_US	(6 * FP_US_PER_S) /* three renewals may be lost */
 #define KEEP_US		(1500 * FP_US_PER_MS)
 #define GONE_US		(2500 * FP_US_PER_MS) /* a live node needs 2 s */
@@ -286,10 +287,10 @@
 
 static void write_self(struct fp_directory *d)
 {
-	char key[sizeof(NODES_PREFIX) + FP_NAME_BYTES] = NODES_PREFIX;
+	char key[sizeof(NODES_PREFIX) + FP_NAME_BYTES];
 	char *text = encode_self(d);
 
-	strcat(key, d->cfg.self.name);
+	snprintf(key, sizeof(key), "%s%s", NODES_PREFIX, d->cfg.self.name);
 	d->writing = true;
 	d->dirty = false;
 	d->cfg.registry->ops->put(d->cfg.registry, key, text, strlen(text),
@@ -395,7 +396,7 @@
 
 	if (!text || strlen(text) >= size)
 		return false;
-	strcpy(to, text);
+	memcpy(to, text, strlen(text) + 1);
 	return true;
 }
 
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -332,17 +332,18 @@
 {
 	struct fp_peer_link *link;
 	struct lost_member *l;
-	struct lost_member *next;
 
 	if (!t->owner->lost || now_us - t->owner->dialed_us < REDIAL_US)
 		return;
 	t->owner->dialed_us = now_us;
-	for (l = t->owner->lost; l; l = next) {
-		next = l->next;
+	for (l = t->owner->lost; l; l = l->next) {
 		link = fp_peer_link_to(t->peers, l->addr);
-		/* A pair may have had two links, of which one went down. */
-		if (link && fp_peer_is_up(link))
+		/* A pair may have had two links, of which one went down. This
+		 * changes the list; the others' turn is the next one. */
+		if (link && fp_peer_is_up(link)) {
 			owner_link(t, l->addr, true);
+			return;
+		}
 	}
 }
 
--- a/test/test_cli.cc
+++ b/test/test_cli.cc
@@ -56,6 +56,48 @@
 	return path;
 }
 
+TEST(Cli, ExplainPutsARequestsLinesInOrder)
+{
+	auto at = [](const char *time, const char *rest) {
+		return std::string("time=2026-12-04T10:00:") + time +
+		       "Z level=info event=" + rest + "\n";
+	};
+	std::string a = write_file(
+		"a.log",
+		at("02.000000", "refused id=ab12 reason=deadline") +
+			at("03.000000", "refused id=ab123 reason=other") +
+			at("00.000000", "started node=a") +
+			at("01.000000", "sent_again id=ab12 reason=cut"));
+	std::string b = write_file(
+		"b.log", "noise\n" +
+				 at("01.500000", "execution_failed "
+						 "id=ab12.77 reason=x") +
+				 at("01.200000", "execution_failed id=cd.12"));
+	output o = run("explain ab12 " + a + " " + b);
+
+	EXPECT_EQ(0, o.code) << o.text;
+	size_t first = o.text.find("event=sent_again id=ab12");
+	size_t second = o.text.find("event=execution_failed id=ab12.77");
+	size_t third = o.text.find("event=refused id=ab12 ");
+	EXPECT_NE(std::string::npos, first);
+	EXPECT_LT(first, second);
+	EXPECT_LT(second, third);
+	EXPECT_NE(std::string::npos, third);
+	EXPECT_EQ(std::string::npos, o.text.find("ab123"));
+	EXPECT_EQ(std::string::npos, o.text.find("cd.12"));
+	/* From the inner request the outer one is seen as well. */
+	o = run("explain ab12.77 " + a + " " + b + " --json");
+	EXPECT_EQ(0, o.code);
+	EXPECT_NE(std::string::npos, o.text.find("reason=deadline"));
+	o = run("explain ffff " + a);
+	EXPECT_EQ(1, o.code);
+	EXPECT_NE(std::string::npos, o.text.find("no line of request ffff"));
+	EXPECT_EQ(2, run("explain ab12").code);
+	EXPECT_EQ(2, run("explain ab12 /no/such.log").code);
+	remove(a.c_str());
+	remove(b.c_str());
+}
+
 TEST(Cli, UsageErrors)
 {
 	const struct {
@@ -151,7 +193,7 @@
 		EXPECT_NE(std::string::npos, page.find(word)) << word;
 		rows++;
 	}
-	EXPECT_EQ(22, rows);
+	EXPECT_EQ(23, rows);
 }
 
 TEST(Cli, CheckFiles)
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -3,7 +3,9 @@
 
 base is below everything. state (pure decisions) and transport (sockets) are
 siblings that do not see each other. protocol, coordination, node and cmd
-follow in this order.
+follow in this order. platform/ at the root is the adapter to the users'
+platform: it may use what is below node, and only cmd, which puts the program
+together, may include it. The platform's names stand nowhere else.
 """
 import pathlib
 import re
@@ -19,19 +21,31 @@
     "node": {"base", "state", "transport", "protocol", "coordination",
              "node"},
     "cmd": {"base", "state", "transport", "protocol", "coordination", "node",
-            "cmd"},
+            "cmd", "platform"},
+    "platform": {"base", "state", "transport", "protocol", "coordination",
+                 "platform"},
 }
+# Names of the platform's wire, settings and store.
+PLATFORM_WORDS = re.compile(
+    r"Fulmarpass-[A-Z]|kv-(key|range|watch|txn|lease|keep)|heartbeatAddr|"
+    r"appAddr|trafficSplit|pathPrefix|apiKeys|ratePerS|coldRemaining|"
+    r"FULMARPASS_BOOT|op/config|/instances/")
 
 
 def main() -> int:
     bad = 0
-    for path in sorted(pathlib.Path("src").rglob("*.[ch]*")):
-        layer = path.parts[1]
+    paths = [(p, p.parts[1]) for p in pathlib.Path("src").rglob("*.[ch]*")]
+    paths += [(p, "platform") for p in pathlib.Path("platform").iterdir()]
+    for path, layer in sorted(paths):
         for line in path.read_text().splitlines():
             m = re.match(r'#include "([a-z]+)/', line)
             if m and m.group(1) not in ALLOWED[layer]:
                 print(f"{path}: layer {layer} includes {m.group(1)}")
                 bad = 1
+            if layer != "platform" and PLATFORM_WORDS.search(line):
+                print(f"{path}: the platform's names belong to platform/: "
+                      f"{line.strip()}")
+                bad = 1
     return bad
 
 
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -5,8 +5,8 @@
 files=$(git ls-files --cached --others --exclude-standard '*.c' '*.h' '*.cc')
 # shellcheck disable=SC2086
 clang-format --dry-run --Werror $files || rc=1
-cc=$(git ls-files --cached --others --exclude-standard 'src/*.c')
-flags="-std=c17 -D_GNU_SOURCE -Isrc -Itest
+cc=$(git ls-files --cached --others --exclude-standard 'src/*.c' 'platform/*.c')
+flags="-std=c17 -D_GNU_SOURCE -Isrc -Itest -I.
 $(pkg-config --cflags apr-1 apr-util-1 libmicrohttpd msgpack jansson \
 	libxxhash libsodium libcurl)"
 mkdir -p build-lint
@@ -16,7 +16,7 @@
 cppcheck --quiet --std=c11 --language=c -j 6 --error-exitcode=1 \
 	--enable=warning,portability --inline-suppr \
 	--suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
-	-Isrc $cc || rc=1
+	-Isrc -I. $cc || rc=1
 python3 tools/check_layers.py || rc=1
 [ $rc -eq 0 ] && echo "lint: clean"
 exit $rc
