--- a/src/cmd/cmd_explain.c
+++ b/src/cmd/cmd_explain.c
@@ -130,7 +130,7 @@
 			"well and in time, or its lines were left out "
 			"(event=log_left_out)",
 			o->args[0], s.n_read);
-	if (rc == CMD_DONE) {
+	if (rc == CMD_DONE && s.lines) {
 		qsort(s.lines, s.n, sizeof(*s.lines), compare);
 		print(o, &s);
 	}
--- a/src/protocol/dialect.c
+++ b/src/protocol/dialect.c
@@ -16,8 +16,8 @@
 
 	if (!instance || strlen(instance) >= sizeof(out->instance))
 		return fp_fail(FP_INVALID, "announcement: instance");
-	if (!state || (strcmp(state, "serving") != 0 &&
-		       strcmp(state, "leaving") != 0))
+	if (!state ||
+	    (strcmp(state, "serving") != 0 && strcmp(state, "leaving") != 0))
 		return fp_fail(FP_INVALID, "announcement: state");
 	if (port <= 0 || port > UINT16_MAX || slots <= 0 || slots > MAX_SLOTS)
 		return fp_fail(FP_INVALID, "announcement: port or slots");
