An inner call has attempts of its own, within the fleet's budget

The root keeps its one extra attempt, so it lent none to its tree. On a fleet with a budget of repeats that budget bounds them.

--- a/src/node/call.c
+++ b/src/node/call.c
@@ -168,7 +168,7 @@
 	struct execution_context up;
 	struct execution *parent;
 
-	if (!c->msg.nested)
+	if (!c->msg.nested || c->t->hosted)
 		return;
 	parent = execution_find(c->t, c->parent_id);
 	if (!parent)
@@ -286,10 +286,13 @@
 		return may_retry_unknown(c) && spend_attempt(c);
 	if (why == FP_REASON_DEADLINE)
 		return false;
-	if (why != FP_REASON_OVERLOADED)
-		return !reached || !c->t->hosted || spend_attempt(c);
+	if (!reached)
+		return true;
+	if (c->t->hosted)
+		return spend_attempt(c);
 	/* Of calls that reached one only the root asks another. */
-	return !reached || (!c->msg.nested && spend_attempt(c));
+	return why != FP_REASON_OVERLOADED ||
+	       (!c->msg.nested && spend_attempt(c));
 }
 
 static void attempt_over(struct call *c, enum fp_outcome outcome,
--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -230,7 +230,11 @@
 	c->org_index = UINT32_MAX;
 	set_deadline(c, r, up.deadline_us);
 	memcpy(c->msg.caller, t->settings->service, sizeof(c->msg.caller));
-	c->pot.left = fp_attempt_lend(up.pot, NESTED_ATTEMPTS);
+	/* Where the fleet's budget bounds repeats, each call has its own. */
+	if (t->hosted)
+		c->pot.left = route->max_workers ? route->max_workers - 1 : 0;
+	else
+		c->pot.left = fp_attempt_lend(up.pot, NESTED_ATTEMPTS);
 	call_begin(c);
 }
 
