--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -419,6 +419,15 @@
 	free(h);
 }
 
+/* From now on the worker gets no new work through this node. */
+static void withdraw_worker(struct fp_traffic *t, int64_t now_us)
+{
+	if (t->withdrawn)
+		return;
+	t->withdrawn = true;
+	worker_tick(t, now_us);
+}
+
 static void begin_drain(void *ctx)
 {
 	struct handed *h = ctx;
@@ -429,7 +438,10 @@
 	t->drain_began_us = fp_loop_now_us(t->loop);
 	fp_log(FP_LOG_INFO, "draining", "calls=%u executions=%u", t->n_calls,
 	       t->n_executions);
-	worker_tick(t, fp_loop_now_us(t->loop));
+	/* A hosted node may be stopped while its worker goes on: that serves
+	 * the others as long as callers are still on their way elsewhere. */
+	if (!t->hosted)
+		withdraw_worker(t, fp_loop_now_us(t->loop));
 	fp_http_server_close_answers(t->callers);
 }
 
@@ -472,6 +484,7 @@
 
 	if (t->drained_told || spent_us < LAME_DUCK_US)
 		return;
+	withdraw_worker(t, now_us);
 	fp_http_server_quiesce(t->callers);
 	open = fp_http_server_open_exchanges(t->callers);
 	if ((t->n_calls || t->n_executions || open) &&
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -112,6 +112,7 @@
 	int64_t announced_us; /* last announcement */
 	struct fp_timer tick;
 	bool draining;
+	bool withdrawn; /* the worker gets no new work, as the node ends */
 	bool drained_told;
 	int64_t drain_began_us;
 };
--- a/src/node/worker.c
+++ b/src/node/worker.c
@@ -119,7 +119,7 @@
 {
 	struct fp_worker w = { .port = a->port,
 			       .slots = a->slots,
-			       .serving = a->serving && !t->draining,
+			       .serving = a->serving && !t->withdrawn,
 			       .born_ms = a->born_ms,
 			       .sequence = a->sequence };
 
@@ -168,7 +168,7 @@
 	struct fp_worker w = t->worker;
 
 	if (!w.serving ||
-	    (now_us - t->announced_us <= SILENCE_US && !t->draining))
+	    (now_us - t->announced_us <= SILENCE_US && !t->withdrawn))
 		return;
 	w.serving = false;
 	set_worker(t, &w);
