--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -16,6 +16,9 @@
 #define ADMIN_BODY_BYTES   4096u
 #define ADMIN_HEADER_BYTES 8192u
 #define ADMIN_CONNECTIONS  16u
+/* For the store to hear that the lease ends; it answers within 4 ms. Who does
+ * not reach it loses its record with the lease. */
+#define LEAVE_US (100 * FP_US_PER_MS)
 
 struct fp_hosted {
 	const struct fp_settings *settings;
@@ -28,6 +31,7 @@
 	struct fp_directory *directory;
 	struct fp_http_server *admin;
 	uint32_t n_members;
+	struct fp_timer leaving; /* the end of the lease is on its way */
 	void (*stopped)(void *ctx);
 	void *stopped_ctx;
 };
@@ -165,12 +169,20 @@
 	fp_loop_post(h->loop, begin_stop, h);
 }
 
+static void on_left(void *ctx)
+{
+	struct fp_hosted *h = ctx;
+
+	h->stopped(h->stopped_ctx);
+}
+
 static void take_drained(void *ctx)
 {
 	struct fp_hosted *h = ctx;
 
 	fp_directory_leave(h->directory);
-	h->stopped(h->stopped_ctx);
+	fp_timer_set(h->loop, &h->leaving, fp_loop_now_us(h->loop) + LEAVE_US,
+		     on_left, h);
 }
 
 void fp_hosted_drained(struct fp_hosted *h)
