--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -40,6 +40,7 @@
 #define LEASE_US	(6 * FP_US_PER_S) /* three renewals may be lost */
 #define KEEP_US		(1500 * FP_US_PER_MS)
 #define GONE_US		(2500 * FP_US_PER_MS) /* a live node needs 2 s */
+#define SWEEP_US	(200 * FP_US_PER_MS)
 #define FIRST_PAUSE_US	(100 * FP_US_PER_MS)
 #define LAST_PAUSE_US	(800 * FP_US_PER_MS) /* back within 2 s of a return */
 
@@ -74,6 +75,7 @@
 	struct machine own;
 	struct machine others;
 	struct fp_timer sweep; /* drops what is gone */
+	int64_t answered_us; /* when the store answered last */
 	bool has_secret;
 	uint64_t revision; /* of the operators' record in force */
 	uint64_t config_item; /* revision of the item that was asked for last */
@@ -111,6 +113,7 @@
 		fp_log(FP_LOG_INFO, "store_regained", "what=%s", m->what);
 	m->failing = false;
 	m->pause_us = FIRST_PAUSE_US;
+	m->d->answered_us = fp_loop_now_us(m->d->loop);
 }
 
 static void failed(struct machine *m, enum fp_status st)
@@ -554,21 +557,24 @@
 }
 
 /*
- * A store that cannot be asked says nothing of who is gone, so records are
- * dropped only while it answers.
+ * A store that cannot be asked says nothing of who is gone, so only time in
+ * which it answers counts. The record is asked for so often that a store which
+ * answers has answered lately.
  */
 static void on_sweep(void *ctx)
 {
 	struct fp_directory *d = ctx;
 	int64_t now_us = fp_loop_now_us(d->loop);
+	bool answers = !d->others.failing &&
+		       now_us - d->answered_us <= CONFIG_EVERY_US + SWEEP_US;
 	struct record **at = &d->records;
 	bool changed = false;
+	struct record *rec;
 
-	while (*at) {
-		struct record *rec = *at;
-
-		if (d->others.failing || !rec->missing_us ||
-		    now_us - rec->missing_us < GONE_US) {
+	while ((rec = *at)) {
+		if (rec->missing_us && !answers)
+			rec->missing_us += SWEEP_US;
+		if (!rec->missing_us || now_us - rec->missing_us < GONE_US) {
 			at = &rec->next;
 			continue;
 		}
@@ -581,7 +587,7 @@
 	}
 	if (changed)
 		publish(d);
-	fp_timer_set(d->loop, &d->sweep, now_us + OTHERS_PAUSE_US, on_sweep, d);
+	fp_timer_set(d->loop, &d->sweep, now_us + SWEEP_US, on_sweep, d);
 }
 
 /* --- life --- */
--- /dev/null
+++ b/test/standin/lib_platform.c
@@ -0,0 +1,532 @@
+/* lib_platform.c - the users' platform in one process: store and servers */
+#include "lib_platform.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "lib_http.h"
+#include "lib_serve.h"
+
+#define MAX_ITEMS 256
+#define KEY_BYTES 200
+#define SILENT_MS 5000
+#define POLL_MS	  10
+
+/* One item, or the memory of one that was removed. */
+struct item {
+	char key[KEY_BYTES];
+	char *value; /* base64; NULL: removed */
+	int64_t revision;
+	int64_t lease;
+};
+
+struct platform_store {
+	struct server *server;
+	pthread_mutex_t lock;
+	struct item items[MAX_ITEMS];
+	int n_items;
+	int64_t revision;
+	int64_t next_lease;
+	int64_t ended_below; /* leases below this have ended */
+	int calls;
+	enum platform_trouble trouble;
+};
+
+static int64_t now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static char *base64(const char *text)
+{
+	static const char digits[] =
+		"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+		"0123456789+/";
+	size_t n = strlen(text);
+	char *out = calloc(1, (n / 3 + 1) * 4 + 1);
+	size_t at = 0;
+	size_t i;
+
+	for (i = 0; i < n; i += 3) {
+		uint32_t v = (uint32_t)(uint8_t)text[i] << 16;
+		int have = 1;
+
+		if (i + 1 < n) {
+			v |= (uint32_t)(uint8_t)text[i + 1] << 8;
+			have = 2;
+		}
+		if (i + 2 < n) {
+			v |= (uint8_t)text[i + 2];
+			have = 3;
+		}
+		out[at++] = digits[v >> 18];
+		out[at++] = digits[v >> 12 & 63];
+		out[at++] = have > 1 ? digits[v >> 6 & 63] : '=';
+		out[at++] = have > 2 ? digits[v & 63] : '=';
+	}
+	return out;
+}
+
+static struct item *find(struct platform_store *s, const char *key)
+{
+	int i;
+
+	for (i = 0; i < s->n_items; i++)
+		if (strcmp(s->items[i].key, key) == 0)
+			return &s->items[i];
+	return NULL;
+}
+
+/* Sets or removes (NULL) an item; takes over the value. */
+static void set(struct platform_store *s, const char *key, char *value,
+		int64_t lease)
+{
+	struct item *it = find(s, key);
+
+	if (!it) {
+		if (s->n_items == MAX_ITEMS)
+			abort();
+		it = &s->items[s->n_items++];
+		snprintf(it->key, sizeof(it->key), "%s", key);
+	}
+	free(it->value);
+	it->value = value;
+	it->lease = lease;
+	it->revision = ++s->revision;
+}
+
+static json_t *item_json(const struct item *it)
+{
+	if (!it->value)
+		return json_pack("{s:s,s:I,s:b}", "key", it->key, "revision",
+				 (json_int_t)it->revision, "deleted", 1);
+	return json_pack("{s:s,s:s,s:I,s:I}", "key", it->key, "value",
+			 it->value, "revision", (json_int_t)it->revision,
+			 "lease", (json_int_t)it->lease);
+}
+
+/* Items under a prefix that changed after a revision. */
+static json_t *collect(struct platform_store *s, const char *prefix,
+		       int64_t after, bool removed)
+{
+	json_t *list = json_array();
+	int i;
+
+	for (i = 0; i < s->n_items; i++) {
+		const struct item *it = &s->items[i];
+
+		if (strncmp(it->key, prefix, strlen(prefix)) == 0 &&
+		    it->revision > after && (removed || it->value))
+			json_array_append_new(list, item_json(it));
+	}
+	return list;
+}
+
+static enum MHD_Result get(struct platform_store *s, struct serve_request *r)
+{
+	struct item *it;
+	json_t *j;
+
+	pthread_mutex_lock(&s->lock);
+	it = find(s, serve_query(r, "key"));
+	j = it && it->value ? item_json(it) : json_object();
+	json_object_set_new(j, "storeRevision", json_integer(s->revision));
+	pthread_mutex_unlock(&s->lock);
+	return serve_json(r, json_object_get(j, "value") ? 200 : 404, j);
+}
+
+static enum MHD_Result range(struct platform_store *s, struct serve_request *r)
+{
+	json_t *j = json_object();
+
+	pthread_mutex_lock(&s->lock);
+	json_object_set_new(j, "items",
+			    collect(s, serve_query(r, "pathPrefix"), 0, false));
+	json_object_set_new(j, "hasMore", json_false());
+	json_object_set_new(j, "storeRevision", json_integer(s->revision));
+	pthread_mutex_unlock(&s->lock);
+	return serve_json(r, 200, j);
+}
+
+static enum MHD_Result watch(struct platform_store *s, struct serve_request *r)
+{
+	int64_t end_ms = now_ms() + (int64_t)serve_query_number(r, "waitMs", 0);
+	int64_t after = (int64_t)serve_query_number(r, "after", 0);
+	json_t *events = NULL;
+	int64_t revision;
+
+	for (;;) {
+		json_decref(events);
+		pthread_mutex_lock(&s->lock);
+		events = collect(s, serve_query(r, "pathPrefix"), after, true);
+		revision = s->revision;
+		pthread_mutex_unlock(&s->lock);
+		if (json_array_size(events) || now_ms() >= end_ms ||
+		    serve_gone(r))
+			break;
+		usleep(POLL_MS * 1000);
+	}
+	return serve_json(r, 200,
+			  json_pack("{s:o,s:I}", "events", events,
+				    "storeRevision", (json_int_t)revision));
+}
+
+static bool lease_lives(const struct platform_store *s, int64_t lease)
+{
+	return lease >= s->ended_below && lease < s->next_lease;
+}
+
+/* Returns the status of a transaction, which is carried out with 200. */
+static int transact(struct platform_store *s, const json_t *body)
+{
+	const json_t *rows = json_object_get(body, "precondition");
+	const json_t *writes = json_object_get(body, "writes");
+	size_t i;
+
+	for (i = 0; i < json_array_size(rows); i++) {
+		const json_t *row = json_array_get(rows, i);
+		struct item *it =
+			find(s, json_string_value(json_object_get(row, "key")));
+		int64_t stands = it && it->value ? it->revision : 0;
+
+		if (stands !=
+		    json_integer_value(json_object_get(row, "revision")))
+			return 412;
+	}
+	for (i = 0; i < json_array_size(writes); i++) {
+		const json_t *w = json_array_get(writes, i);
+		int64_t lease = json_integer_value(json_object_get(w, "lease"));
+
+		if (lease && !lease_lives(s, lease))
+			return 404;
+		set(s, json_string_value(json_object_get(w, "key")),
+		    strdup(json_string_value(json_object_get(w, "value"))),
+		    lease);
+	}
+	return 200;
+}
+
+static void end_leases(struct platform_store *s, int64_t from, int64_t below)
+{
+	int i;
+
+	for (i = 0; i < s->n_items; i++)
+		if (s->items[i].value && s->items[i].lease >= from &&
+		    s->items[i].lease < below)
+			set(s, s->items[i].key, NULL, 0);
+}
+
+/* Carries a short call out; *body is set to the answer's. */
+static int carry_out(struct platform_store *s, const struct serve_request *r,
+		     json_t **body)
+{
+	json_t *in = json_loads(r->body ? r->body : "", 0, NULL);
+	int64_t lease = strtoll(strrchr(r->path, '/') + 1, NULL, 10);
+	int status = 404;
+
+	pthread_mutex_lock(&s->lock);
+	if (strcmp(r->path, "/kv-txn") == 0) {
+		status = transact(s, in);
+		*body = json_pack("{s:I}", "revision", (json_int_t)s->revision);
+	} else if (strcmp(r->path, "/kv-lease") == 0) {
+		status = 200;
+		*body = json_pack("{s:I,s:s}", "lease",
+				  (json_int_t)s->next_lease++, "ttl_time",
+				  "6000ms");
+	} else if (strncmp(r->path, "/kv-keep/", 9) == 0) {
+		status = lease_lives(s, lease) ? 200 : 404;
+		*body = json_pack("{s:s}", "ttl_time", "6000ms");
+	} else if (strncmp(r->path, "/kv-lease-end/", 14) == 0) {
+		end_leases(s, lease, lease + 1);
+		status = 200;
+		*body = json_object();
+	} else {
+		*body = json_object();
+	}
+	pthread_mutex_unlock(&s->lock);
+	json_decref(in);
+	return status;
+}
+
+static enum MHD_Result on_store(struct serve_request *r, void *arg)
+{
+	struct platform_store *s = arg;
+	enum platform_trouble trouble;
+	json_t *body;
+	int status;
+
+	pthread_mutex_lock(&s->lock);
+	s->calls++;
+	trouble = s->trouble;
+	pthread_mutex_unlock(&s->lock);
+	if (trouble == PLATFORM_BUSY)
+		return serve_json(r, 503, json_object());
+	if (trouble == PLATFORM_SILENT) {
+		usleep(SILENT_MS * 1000);
+		return MHD_NO;
+	}
+	if (strcmp(r->path, "/kv-key") == 0)
+		return get(s, r);
+	if (strcmp(r->path, "/kv-range") == 0)
+		return range(s, r);
+	if (strcmp(r->path, "/kv-watch") == 0)
+		return watch(s, r);
+	status = carry_out(s, r, &body);
+	if (trouble == PLATFORM_LOST) {
+		json_decref(body);
+		return MHD_NO;
+	}
+	return serve_json(r, (unsigned int)status, body);
+}
+
+struct platform_store *platform_store_init(const char *listen)
+{
+	struct platform_store *s = calloc(1, sizeof(*s));
+
+	pthread_mutex_init(&s->lock, NULL);
+	s->revision = 1;
+	s->next_lease = 100;
+	s->server = serve_init(listen, on_store, s);
+	if (s->server)
+		return s;
+	free(s);
+	return NULL;
+}
+
+void platform_store_set(struct platform_store *s, enum platform_trouble t)
+{
+	pthread_mutex_lock(&s->lock);
+	s->trouble = t;
+	pthread_mutex_unlock(&s->lock);
+}
+
+void platform_store_write(struct platform_store *s, const char *key,
+			  const char *value)
+{
+	pthread_mutex_lock(&s->lock);
+	set(s, key, base64(value), 0);
+	pthread_mutex_unlock(&s->lock);
+}
+
+void platform_store_lapse(struct platform_store *s)
+{
+	pthread_mutex_lock(&s->lock);
+	end_leases(s, 1, s->next_lease);
+	s->ended_below = s->next_lease;
+	pthread_mutex_unlock(&s->lock);
+}
+
+int platform_store_count(struct platform_store *s, const char *prefix)
+{
+	json_t *list;
+	int n;
+
+	pthread_mutex_lock(&s->lock);
+	list = collect(s, prefix, 0, false);
+	pthread_mutex_unlock(&s->lock);
+	n = (int)json_array_size(list);
+	json_decref(list);
+	return n;
+}
+
+int platform_store_calls(struct platform_store *s)
+{
+	int n;
+
+	pthread_mutex_lock(&s->lock);
+	n = s->calls;
+	pthread_mutex_unlock(&s->lock);
+	return n;
+}
+
+void platform_store_end(struct platform_store *s)
+{
+	int i;
+
+	if (!s)
+		return;
+	serve_end(s->server);
+	for (i = 0; i < s->n_items; i++)
+		free(s->items[i].value);
+	pthread_mutex_destroy(&s->lock);
+	free(s);
+}
+
+/* --- a server --- */
+
+static const char *const noted[] = {
+	"Fulmarpass-Request-Id",
+	"Fulmarpass-Deadline-Ms",
+	"Fulmarpass-Tenant",
+	"Fulmarpass-Key",
+	"Fulmarpass-Caller-Service",
+	"Fulmarpass-Target-Instance",
+	"Host",
+	"X-Other",
+};
+#define N_NOTED (sizeof(noted) / sizeof(noted[0]))
+
+struct platform_server {
+	struct platform_server_opts o;
+	struct server *server;
+	pthread_mutex_t lock;
+	char last[N_NOTED][256];
+	int runs;
+	long inner;
+	uint64_t sequence;
+};
+
+static void make_inner(struct platform_server *s, const char *id)
+{
+	char id_line[300];
+	char host_line[128];
+	const char *headers[] = { id_line, host_line,
+				  "Fulmarpass-Deadline-Ms: 2000", NULL };
+	struct http_request req = { .url = s->o.inner_url, .headers = headers };
+	struct http_answer a;
+	long status;
+
+	snprintf(id_line, sizeof(id_line),
+		 "Fulmarpass-Request-Id: %s.1b2c3d4e5f607182", id);
+	snprintf(host_line, sizeof(host_line), "Host: %s", s->o.inner_host);
+	status = http_call(&req, &a);
+	http_answer_end(&a);
+	pthread_mutex_lock(&s->lock);
+	s->inner = status;
+	pthread_mutex_unlock(&s->lock);
+}
+
+static enum MHD_Result on_request(struct serve_request *r, void *arg)
+{
+	struct platform_server *s = arg;
+	struct MHD_Response *res;
+	enum MHD_Result rc;
+	size_t i;
+
+	if (strcmp(serve_header(r, "Fulmarpass-Target-Instance"), s->o.id) != 0)
+		return serve_bytes(r, 421, "", 0, "Fulmarpass-Instance-Id",
+				   s->o.id);
+	pthread_mutex_lock(&s->lock);
+	s->runs++;
+	for (i = 0; i < N_NOTED; i++)
+		snprintf(s->last[i], sizeof(s->last[i]), "%s",
+			 serve_header(r, noted[i]));
+	pthread_mutex_unlock(&s->lock);
+	if (s->o.inner_url)
+		make_inner(s, serve_header(r, "Fulmarpass-Request-Id"));
+	usleep((useconds_t)s->o.run_ms * 1000);
+	if (s->o.drop)
+		return MHD_NO;
+	res = MHD_create_response_from_buffer(4, (void *)(uintptr_t) "done",
+					      MHD_RESPMEM_PERSISTENT);
+	MHD_add_response_header(res, "Fulmarpass-Response-Signature", s->o.id);
+	MHD_add_response_header(res, "Fulmarpass-Request-Id",
+				serve_header(r, "Fulmarpass-Request-Id"));
+	rc = MHD_queue_response(r->conn, 200, res);
+	MHD_destroy_response(res);
+	return rc;
+}
+
+static bool tell(struct platform_server *s, const char *method,
+		 const char *body)
+{
+	char url[256];
+	struct http_request req = { .method = method,
+				    .url = url,
+				    .body = body,
+				    .body_bytes = strlen(body),
+				    .timeout_ms = 1000 };
+	struct http_answer a;
+	long status;
+
+	snprintf(url, sizeof(url), "http://%s/instances/%s", s->o.control,
+		 s->o.id);
+	status = http_call(&req, &a);
+	http_answer_end(&a);
+	return status == 200;
+}
+
+bool platform_server_announce(struct platform_server *s, const char *state)
+{
+	char body[512];
+
+	pthread_mutex_lock(&s->lock);
+	s->sequence++;
+	snprintf(body, sizeof(body),
+		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
+		 "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+		 "\"coldRemaining\":\"0ms\",\"sequence\":%" PRIu64
+		 ",\"born\":%" PRId64 "}",
+		 s->o.service, s->o.address, state, s->sequence, s->o.born_ms);
+	pthread_mutex_unlock(&s->lock);
+	return tell(s, "PUT", body);
+}
+
+bool platform_server_farewell(struct platform_server *s)
+{
+	return tell(s, "DELETE", "");
+}
+
+struct platform_server *
+platform_server_init(const struct platform_server_opts *o)
+{
+	struct platform_server *s = calloc(1, sizeof(*s));
+
+	s->o = *o;
+	pthread_mutex_init(&s->lock, NULL);
+	s->server = serve_init(o->address, on_request, s);
+	if (s->server)
+		return s;
+	free(s);
+	return NULL;
+}
+
+int platform_server_runs(struct platform_server *s)
+{
+	int n;
+
+	pthread_mutex_lock(&s->lock);
+	n = s->runs;
+	pthread_mutex_unlock(&s->lock);
+	return n;
+}
+
+void platform_server_last(struct platform_server *s, const char *name,
+			  char *value, int value_bytes)
+{
+	size_t i;
+
+	value[0] = '\0';
+	pthread_mutex_lock(&s->lock);
+	for (i = 0; i < N_NOTED; i++)
+		if (strcmp(noted[i], name) == 0)
+			snprintf(value, (size_t)value_bytes, "%s", s->last[i]);
+	pthread_mutex_unlock(&s->lock);
+}
+
+long platform_server_inner(struct platform_server *s)
+{
+	long status;
+
+	pthread_mutex_lock(&s->lock);
+	status = s->inner;
+	pthread_mutex_unlock(&s->lock);
+	return status;
+}
+
+void platform_server_end(struct platform_server *s)
+{
+	if (!s)
+		return;
+	serve_end(s->server);
+	pthread_mutex_destroy(&s->lock);
+	free(s);
+}
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -87,9 +87,25 @@
 		return new pending{ done, ctx, failing, revision, 0, {}, {} };
 	}
 
+	bool silent = false; /* answers are held back */
+	std::vector<pending *> held;
+
 	void send(pending *p)
 	{
-		fp_loop_post(loop, answer, p);
+		if (silent)
+			held.push_back(p);
+		else
+			fp_loop_post(loop, answer, p);
+	}
+
+	/* The held calls end without an answer, as their time is over. */
+	void answer_held()
+	{
+		for (auto *p : held) {
+			p->status = FP_TIMEOUT;
+			fp_loop_post(loop, answer, p);
+		}
+		held.clear();
 	}
 
 	void write(const std::string &key, const std::string &value,
@@ -568,6 +584,29 @@
 	EXPECT_EQ(1u, names.count("n2"));
 }
 
+/*
+ * The store answers once, so that a member is seen to be missing, and is silent
+ * from then on: calls that wait do not fail for long.
+ */
+TEST_F(Directory, NobodyIsGoneWhileTheStoreIsSilent)
+{
+	store.write("op/config", config(5));
+	store.write("fulmar/nodes/n2", other("n2", 2, true));
+	start();
+	run_ms(600);
+	store.remove("fulmar/nodes/n2");
+	run_ms(450);
+	store.silent = true;
+	run_ms(15000);
+	EXPECT_EQ(1u, names.count("n2"));
+	store.silent = false;
+	store.answer_held();
+	run_ms(1000);
+	store.write("fulmar/nodes/n2", other("n2", 2, true));
+	run_ms(4000);
+	EXPECT_EQ(1u, names.count("n2"));
+}
+
 TEST_F(Directory, ALostHistoryIsReadAnew)
 {
 	start();
