--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -87,7 +87,7 @@
 	uint32_t running; /**< started and not ended */
 	uint32_t queued; /**< waiting */
 	uint32_t delay_us; /**< smoothed queue delay */
-	/** Share of each class's demand refused lately, permille. */
+	/** Share of the demand refused lately, permille, by rank. */
 	uint16_t refused_permille[FP_RANK_COUNT];
 };
 
--- a/src/state/early.h
+++ b/src/state/early.h
@@ -35,7 +35,7 @@
  * Takes the newest refusal shares of one worker of a service.
  *
  * @param worker            id of the worker
- * @param refused_permille  per class, as in fp_admission_level
+ * @param refused_permille  by rank, as in fp_admission_level
  */
 void fp_early_level(struct fp_early *e, const char *service, uint64_t worker,
 		    const uint16_t refused_permille[FP_RANK_COUNT],
--- a/test/test_early.cc
+++ b/test/test_early.cc
@@ -120,7 +120,8 @@
 	int64_t stand(const char *name, uint16_t important, uint16_t normal,
 		      uint16_t sheddable, int64_t from_us, int64_t to_us)
 	{
-		const uint16_t shares[] = { important, normal, sheddable };
+		const uint16_t shares[FP_RANK_COUNT] = { important, normal,
+							 sheddable };
 
 		for (; from_us <= to_us; from_us += 100000)
 			fp_early_level(e, name, 7, shares, from_us);
