--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -16,8 +16,8 @@
 #define ADMIN_BODY_BYTES   4096u
 #define ADMIN_HEADER_BYTES 8192u
 #define ADMIN_CONNECTIONS  16u
-/* For the store to hear that the lease ends; it answers within 4 ms. Who does
- * not reach it loses its record with the lease. */
+/* How long before the earliest end of the process its lease is ended, for the
+ * store to hear of it; it answers within 4 ms. */
 #define LEAVE_US (100 * FP_US_PER_MS)
 
 struct fp_hosted {
@@ -31,7 +31,7 @@
 	struct fp_directory *directory;
 	struct fp_http_server *admin;
 	uint32_t n_members;
-	struct fp_timer leaving; /* the end of the lease is on its way */
+	struct fp_timer leaving; /* when the lease is ended, at a stop */
 	void (*stopped)(void *ctx);
 	void *stopped_ctx;
 };
@@ -154,11 +154,21 @@
 	fp_loop_post(h->loop, take_worker, copy);
 }
 
+static void on_leave(void *ctx)
+{
+	struct fp_hosted *h = ctx;
+
+	fp_directory_leave(h->directory);
+}
+
 static void begin_stop(void *ctx)
 {
 	struct fp_hosted *h = ctx;
 
 	fp_log(FP_LOG_INFO, "stopping", "node=%s", h->settings->name);
+	fp_timer_set(h->loop, &h->leaving,
+		     fp_loop_now_us(h->loop) + FP_LAME_DUCK_US - LEAVE_US,
+		     on_leave, h);
 	fp_traffic_drain(h->traffic);
 }
 
@@ -169,20 +179,11 @@
 	fp_loop_post(h->loop, begin_stop, h);
 }
 
-static void on_left(void *ctx)
-{
-	struct fp_hosted *h = ctx;
-
-	h->stopped(h->stopped_ctx);
-}
-
 static void take_drained(void *ctx)
 {
 	struct fp_hosted *h = ctx;
 
-	fp_directory_leave(h->directory);
-	fp_timer_set(h->loop, &h->leaving, fp_loop_now_us(h->loop) + LEAVE_US,
-		     on_left, h);
+	h->stopped(h->stopped_ctx);
 }
 
 void fp_hosted_drained(struct fp_hosted *h)
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -20,9 +20,8 @@
 #include "protocol/msg_shared.h"
 
 #define TICK_US (10 * FP_US_PER_MS)
-/* How long a stopping node still takes connections, so that callers and other
- * nodes learn of it from its answers and not from a refused connection. */
-#define LAME_DUCK_US (2 * FP_US_PER_S)
+/* For a caller to find another node. */
+#define RETRY_ELSEWHERE_US (100 * FP_US_PER_MS)
 /* What the end of a process takes, before the kill. */
 #define KILL_MARGIN_US	    (400 * FP_US_PER_MS)
 #define FRAME_EXTRA_BYTES   (256u << 10)
@@ -54,7 +53,15 @@
 static void on_caller(void *ctx, struct fp_http_exchange *x,
 		      const struct fp_http_request *r)
 {
-	call_from_caller(ctx, x, r);
+	struct fp_traffic *t = ctx;
+
+	/* The process ends at any moment: what came on a kept connection is
+	 * answered here and not begun. */
+	if (t->drained_told)
+		answer_refuse(t, x, FP_CLASS_NORMAL, FP_OUTCOME_NOT_RUN,
+			      FP_REASON_STOPPING, RETRY_ELSEWHERE_US);
+	else
+		call_from_caller(t, x, r);
 }
 
 static void on_local(void *ctx, struct fp_http_exchange *x,
@@ -482,7 +489,7 @@
 	int64_t spent_us = now_us - t->drain_began_us;
 	uint32_t open;
 
-	if (t->drained_told || spent_us < LAME_DUCK_US)
+	if (t->drained_told || spent_us < FP_LAME_DUCK_US)
 		return;
 	withdraw_worker(t, now_us);
 	fp_http_server_quiesce(t->callers);
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -25,6 +25,10 @@
 
 struct fp_traffic;
 
+/** How long a stopping node still takes connections, so that callers and other
+ *  nodes learn of it from its answers and not from a refused connection. */
+#define FP_LAME_DUCK_US (2 * FP_US_PER_S)
+
 /** What the backend server of this VM announced. */
 struct fp_worker {
 	uint16_t port;
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -5,6 +5,9 @@
  */
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -237,10 +240,10 @@
 
 	static bool wait(const std::function<bool()> &done, int ms = 5000)
 	{
-		for (int i = 0; i < ms / 20; i++) {
+		for (int i = 0; i < ms / 5; i++) {
 			if (done())
 				return true;
-			usleep(20000);
+			usleep(5000);
 		}
 		return done();
 	}
@@ -264,6 +267,15 @@
 		}
 	}
 
+	static bool says(Machine &m, const char *what)
+	{
+		char *log = fleet_read_file(m.node->log_path);
+		bool found = log && strstr(log, what);
+
+		free(log);
+		return found;
+	}
+
 	std::string last(Machine &m, const char *name)
 	{
 		char text[256];
@@ -414,6 +426,55 @@
 	}));
 }
 
+/*
+ * Connections that were open before the stop bring requests until the process
+ * is gone. What a server began to run must be answered; a request that finds
+ * the connection closed was not begun.
+ */
+TEST_F(Hosted, RequestsOnKeptConnectionsAreAnsweredUntilTheEndOfAStop)
+{
+	static const char text[] = "GET /deep/x HTTP/1.1\r\nHost: h.example\r\n"
+				   "Fulmarpass-Request-Id: kept\r\n"
+				   "Fulmarpass-Key: k1\r\n\r\n";
+	const int n = 100;
+	std::vector<int> fds;
+	struct sockaddr_in sin = {};
+	int answered = 0;
+
+	serve(false, 60);
+	sin.sin_family = AF_INET;
+	sin.sin_port = htons(8001);
+	inet_pton(AF_INET, machines[0]->ip.c_str(), &sin.sin_addr);
+	for (int i = 0; i < n; i++) {
+		fds.push_back(socket(AF_INET, SOCK_STREAM, 0));
+		ASSERT_EQ(0, connect(fds[i], (struct sockaddr *)&sin,
+				     sizeof(sin)));
+	}
+	usleep(300000);
+	int runs = platform_server_runs(machines[1]->server);
+	fleet_process_signal(machines[0]->node, SIGTERM);
+	/* Half of them in the flow, half when nothing is in flight any more. */
+	usleep(1900000);
+	for (int i = 0; i < n / 2; i++) {
+		send(fds[i], text, sizeof(text) - 1, MSG_NOSIGNAL);
+		usleep(2000);
+	}
+	wait([&] { return says(*machines[0], "event=drained"); });
+	for (int i = n / 2; i < n; i++)
+		send(fds[i], text, sizeof(text) - 1, MSG_NOSIGNAL);
+	EXPECT_TRUE(fleet_process_wait(machines[0]->node, 6000));
+	for (int fd : fds) {
+		char buf[4096];
+		ssize_t got = recv(fd, buf, sizeof(buf) - 1, 0);
+
+		buf[got > 0 ? got : 0] = '\0';
+		answered += strncmp(buf, "HTTP/1.1 200", 12) == 0;
+		close(fd);
+	}
+	EXPECT_GT(answered, 0);
+	EXPECT_EQ(platform_server_runs(machines[1]->server) - runs, answered);
+}
+
 TEST_F(Hosted, AKilledNodeServesAgainAfterItsStart)
 {
 	serve();
