A member is gone only by a listing that was answered

Its lines: the records were written again, but the watch that would have told it hung in the store's silence, while the record of the operators was read again; so a member whose record stood was dropped. Directory.ARecordThatIsBackIsSeenThoughWatchesHang failed before.

--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -15,8 +15,9 @@
  * that a store in trouble is not kept there by its clients.
  *
  * A record that went missing may have lapsed while the store was away: its node
- * writes it again as soon as it reaches the store. It is taken as gone after
- * GONE_US.
+ * writes it again as soon as it reaches the store. As long as any is missing all
+ * are listed again and again; one that a listing lacks after GONE_US is gone. A
+ * watch would not do: it may hang, and says nothing of what is not there.
  */
 #include "coordination/directory.h"
 
@@ -40,7 +41,6 @@
 #define LEASE_US	(6 * FP_US_PER_S) /* three renewals may be lost */
 #define KEEP_US		(1500 * FP_US_PER_MS)
 #define GONE_US		(2500 * FP_US_PER_MS) /* a live node needs 2 s */
-#define SWEEP_US	(200 * FP_US_PER_MS)
 #define FIRST_PAUSE_US	(100 * FP_US_PER_MS)
 #define LAST_PAUSE_US	(800 * FP_US_PER_MS) /* back within 2 s of a return */
 
@@ -74,8 +74,6 @@
 	struct machine config;
 	struct machine own;
 	struct machine others;
-	struct fp_timer sweep; /* drops what is gone */
-	int64_t answered_us; /* when the store answered last */
 	bool has_secret;
 	uint64_t revision; /* of the operators' record in force */
 	uint64_t config_item; /* revision of the item that was asked for last */
@@ -87,6 +85,7 @@
 	bool dirty; /* it changed during the write */
 	bool leaving;
 	uint64_t others_after; /* watched from; 0: to be read */
+	bool listed; /* all records were read once */
 	struct record *records;
 };
 
@@ -113,7 +112,6 @@
 		fp_log(FP_LOG_INFO, "store_regained", "what=%s", m->what);
 	m->failing = false;
 	m->pause_us = FIRST_PAUSE_US;
-	m->d->answered_us = fp_loop_now_us(m->d->loop);
 }
 
 static void failed(struct machine *m, enum fp_status st)
@@ -512,11 +510,47 @@
 	return true;
 }
 
+/*
+ * Drops what a listing that was answered just now still lacks after its time.
+ * Returns whether there was any.
+ */
+static bool drop_gone(struct fp_directory *d)
+{
+	int64_t now_us = fp_loop_now_us(d->loop);
+	struct record **at = &d->records;
+	bool changed = false;
+	struct record *rec;
+
+	while ((rec = *at)) {
+		if (!rec->missing_us || now_us - rec->missing_us < GONE_US) {
+			at = &rec->next;
+			continue;
+		}
+		fp_log(FP_LOG_INFO, "member_gone",
+		       "member=%s missing_ms=%" PRId64, rec->member.name,
+		       (now_us - rec->missing_us) / FP_US_PER_MS);
+		*at = rec->next;
+		free(rec);
+		changed = true;
+	}
+	d->listed = true;
+	return changed;
+}
+
+static bool any_missing(const struct fp_directory *d)
+{
+	const struct record *rec = d->records;
+
+	while (rec && !rec->missing_us)
+		rec = rec->next;
+	return rec != NULL;
+}
+
 static void on_others(void *ctx, const struct fp_registry_result *r)
 {
 	struct fp_directory *d = ctx;
 	bool listing = d->others_after == 0;
-	bool changed = listing;
+	bool changed = listing && !d->listed;
 	struct record *rec;
 	size_t i;
 
@@ -539,7 +573,9 @@
 	for (rec = d->records; listing && rec; rec = rec->next)
 		if (!rec->seen)
 			is_missing(d, rec);
-	d->others_after = r->revision;
+	if (listing)
+		changed |= drop_gone(d);
+	d->others_after = any_missing(d) ? 0 : r->revision;
 	if (changed)
 		publish(d);
 	run_after(&d->others, OTHERS_PAUSE_US);
@@ -556,40 +592,6 @@
 		r->ops->list(r, NODES_PREFIX, on_others, d);
 }
 
-/*
- * A store that cannot be asked says nothing of who is gone, so only time in
- * which it answers counts. The record is asked for so often that a store which
- * answers has answered lately.
- */
-static void on_sweep(void *ctx)
-{
-	struct fp_directory *d = ctx;
-	int64_t now_us = fp_loop_now_us(d->loop);
-	bool answers = !d->others.failing &&
-		       now_us - d->answered_us <= CONFIG_EVERY_US + SWEEP_US;
-	struct record **at = &d->records;
-	bool changed = false;
-	struct record *rec;
-
-	while ((rec = *at)) {
-		if (rec->missing_us && !answers)
-			rec->missing_us += SWEEP_US;
-		if (!rec->missing_us || now_us - rec->missing_us < GONE_US) {
-			at = &rec->next;
-			continue;
-		}
-		fp_log(FP_LOG_INFO, "member_gone",
-		       "member=%s missing_ms=%" PRId64, rec->member.name,
-		       (now_us - rec->missing_us) / FP_US_PER_MS);
-		*at = rec->next;
-		free(rec);
-		changed = true;
-	}
-	if (changed)
-		publish(d);
-	fp_timer_set(d->loop, &d->sweep, now_us + SWEEP_US, on_sweep, d);
-}
-
 /* --- life --- */
 
 struct fp_directory *fp_directory_init(struct fp_loop *l,
@@ -611,13 +613,12 @@
 	run_after(&d->config, 0);
 	run_after(&d->own, 0);
 	run_after(&d->others, 0);
-	on_sweep(d);
 	return d;
 }
 
 bool fp_directory_is_whole(const struct fp_directory *d)
 {
-	return d->has_secret && d->revision && d->others_after;
+	return d->has_secret && d->revision && d->listed;
 }
 
 uint64_t fp_directory_revision(const struct fp_directory *d)
@@ -634,7 +635,6 @@
 	fp_timer_cancel(d->loop, &d->config.timer);
 	fp_timer_cancel(d->loop, &d->own.timer);
 	fp_timer_cancel(d->loop, &d->others.timer);
-	fp_timer_cancel(d->loop, &d->sweep);
 }
 
 void fp_directory_end(struct fp_directory *d)
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -87,6 +87,7 @@
 		return new pending{ done, ctx, failing, revision, 0, {}, {} };
 	}
 
+	bool hang_watches = false; /* they are never answered */
 	bool silent = false; /* answers are held back */
 	std::vector<pending *> held;
 
@@ -215,6 +216,8 @@
 		fake_registry *f = of(r);
 
 		(void)wait_us;
+		if (f->hang_watches)
+			return;
 		if (f->failing != FP_OK || after < f->compacted) {
 			pending *p = f->start("watch", done, ctx);
 
@@ -607,6 +610,22 @@
 	EXPECT_EQ(1u, names.count("n2"));
 }
 
+/* A lapsed record is written again; the watch that would tell it hangs. */
+TEST_F(Directory, ARecordThatIsBackIsSeenThoughWatchesHang)
+{
+	store.write("op/config", config(5));
+	store.write("fulmar/nodes/n2", other("n2", 2, true));
+	start();
+	run_ms(600);
+	store.remove("fulmar/nodes/n2");
+	run_ms(50);
+	store.hang_watches = true;
+	run_ms(1000);
+	store.write("fulmar/nodes/n2", other("n2", 2, true));
+	run_ms(10000);
+	EXPECT_EQ(1u, names.count("n2"));
+}
+
 TEST_F(Directory, ALostHistoryIsReadAnew)
 {
 	start();
