--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -84,8 +84,8 @@
 	bool writing; /* a write of it is under way */
 	bool dirty; /* it changed during the write */
 	bool leaving;
-	uint64_t others_after; /* watched from; 0: to be read */
 	bool listed; /* all records were read once */
+	uint64_t others_after; /* watched from; 0: to be read */
 	struct record *records;
 };
 
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -616,7 +616,7 @@
 	store.write("op/config", config(5));
 	store.write("fulmar/nodes/n2", other("n2", 2, true));
 	start();
-	run_ms(600);
+	run_ms(1500);
 	store.remove("fulmar/nodes/n2");
 	run_ms(50);
 	store.hang_watches = true;
