--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -13,7 +13,6 @@
 #include <stdint.h>
 
 #include "base/clock.h"
-#include "base/counters.h"
 #include "coordination/member.h"
 #include "coordination/registry.h"
 #include "protocol/dialect.h"
@@ -48,7 +47,6 @@
 	struct fp_clock *clock;
 	struct fp_registry *registry; /**< stays the owner's */
 	const struct fp_dialect *dialect;
-	struct fp_counters *counters;
 	struct fp_member self;
 };
 
--- /dev/null
+++ b/src/coordination/directory_members.c
@@ -0,0 +1,361 @@
+/*
+ * directory_members.c - this node's record in the store, and the others'
+ *
+ * A record that went missing may have lapsed while the store was away: its node
+ * writes it again as soon as it reaches the store. As long as any is missing all
+ * are listed again and again; one that a listing lacks after GONE_US is gone. A
+ * watch would not do: it may hang, and says nothing of what is not there.
+ */
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "coordination/directory_private.h"
+#include "protocol/json.h"
+
+#define NODES_PREFIX	 "fulmar/nodes/"
+#define OTHERS_WAIT_US	 (20 * FP_US_PER_S) /* below the store's 30 s */
+#define OTHERS_PAUSE_US	 (400 * FP_US_PER_MS) /* gathers changes of a moment */
+#define LEASE_US	 (6 * FP_US_PER_S) /* three renewals may be lost */
+#define KEEP_US		 (1500 * FP_US_PER_MS)
+#define GONE_US		 (2500 * FP_US_PER_MS) /* a live node needs 2 s */
+#define MAX_RECORD_BYTES 2048
+
+/* --- this node's record --- */
+
+static char *encode_self(const struct fp_directory *d)
+{
+	const struct fp_member *m = &d->cfg.self;
+	json_t *j = json_pack(
+		"{s:I,s:s,s:s,s:s,s:s,s:s,s:I,s:b}", "id", (json_int_t)m->id,
+		"name", m->name, "peer", m->peer_addr, "domain",
+		m->failure_domain, "region", m->region, "service", m->service,
+		"slots", (json_int_t)m->slots, "serving", m->serving);
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	json_decref(j);
+	if (!text)
+		abort();
+	return text;
+}
+
+static void on_written(void *ctx, const struct fp_registry_result *r)
+{
+	struct fp_directory *d = ctx;
+
+	if (d->closed)
+		return;
+	d->writing = false;
+	if (r->status == FP_NOT_FOUND) {
+		d->lease = 0; /* it ended before the write */
+		directory_run_after(&d->own, 0);
+		return;
+	}
+	if (r->status != FP_OK) {
+		directory_failed(&d->own, r->status);
+		return;
+	}
+	directory_succeeded(&d->own);
+	d->written = !d->dirty;
+	directory_run_after(&d->own, d->dirty ? 0 : KEEP_US);
+}
+
+static void write_self(struct fp_directory *d)
+{
+	char key[sizeof(NODES_PREFIX) + FP_NAME_BYTES];
+	char *text = encode_self(d);
+
+	snprintf(key, sizeof(key), "%s%s", NODES_PREFIX, d->cfg.self.name);
+	d->writing = true;
+	d->dirty = false;
+	d->cfg.registry->ops->put(d->cfg.registry, key, text, strlen(text),
+				  d->lease, FP_REGISTRY_ANY, on_written, d);
+	free(text);
+}
+
+static void on_lease(void *ctx, const struct fp_registry_result *r)
+{
+	struct fp_directory *d = ctx;
+
+	if (d->closed)
+		return;
+	if (r->status != FP_OK) {
+		directory_failed(&d->own, r->status);
+		return;
+	}
+	d->lease = r->lease;
+	d->written = false;
+	write_self(d);
+}
+
+static void on_kept(void *ctx, const struct fp_registry_result *r)
+{
+	struct fp_directory *d = ctx;
+
+	if (d->closed)
+		return;
+	if (r->status == FP_NOT_FOUND) {
+		fp_log(FP_LOG_WARN, "lease_ended", "lease=%" PRIu64, d->lease);
+		d->lease = 0;
+		d->written = false;
+		directory_run_after(&d->own, 0);
+		return;
+	}
+	if (r->status != FP_OK) {
+		directory_failed(&d->own, r->status);
+		return;
+	}
+	directory_succeeded(&d->own);
+	directory_run_after(&d->own, d->written ? KEEP_US : 0);
+}
+
+static void ignore(void *ctx, const struct fp_registry_result *r)
+{
+	(void)ctx;
+	(void)r;
+}
+
+void directory_step_own(struct fp_directory *d)
+{
+	struct fp_registry *r = d->cfg.registry;
+
+	if (d->leaving) {
+		if (d->lease)
+			r->ops->end_lease(r, d->lease, ignore, d);
+		d->lease = 0;
+		return;
+	}
+	if (!d->lease)
+		r->ops->open_lease(r, LEASE_US, on_lease, d);
+	else if (!d->written)
+		write_self(d);
+	else
+		r->ops->keep_lease(r, d->lease, on_kept, d);
+}
+
+/* A change of the own record goes out at once, unless a call is under way. */
+static void self_changed(struct fp_directory *d)
+{
+	if (d->writing)
+		d->dirty = true;
+	d->written = false;
+	if (d->own.timer.slot)
+		directory_run_after(&d->own, 0);
+}
+
+void fp_directory_set_worker(struct fp_directory *d, uint32_t slots,
+			     bool serving)
+{
+	struct fp_member *m = &d->cfg.self;
+
+	if (m->slots == slots && m->serving == serving)
+		return;
+	m->slots = slots;
+	m->serving = serving;
+	self_changed(d);
+}
+
+void fp_directory_leave(struct fp_directory *d)
+{
+	if (d->leaving)
+		return;
+	d->leaving = true;
+	directory_run_after(&d->own, 0);
+}
+
+/* --- the others' records --- */
+
+static bool decode(const struct fp_registry_item *it, struct fp_member *m)
+{
+	json_t *j =
+		json_loadb((const char *)it->value, it->value_bytes, 0, NULL);
+	const json_t *id = json_object_get(j, "id");
+	const json_t *slots = json_object_get(j, "slots");
+	bool ok;
+
+	memset(m, 0, sizeof(*m));
+	ok = it->value_bytes <= MAX_RECORD_BYTES && json_is_integer(id) &&
+	     json_is_integer(slots) && json_integer_value(slots) >= 0 &&
+	     json_integer_value(slots) <= UINT32_MAX &&
+	     fp_json_text(j, "name", m->name, sizeof(m->name)) &&
+	     fp_json_text(j, "peer", m->peer_addr, sizeof(m->peer_addr)) &&
+	     fp_json_text(j, "domain", m->failure_domain,
+			  sizeof(m->failure_domain)) &&
+	     fp_json_text(j, "region", m->region, sizeof(m->region)) &&
+	     fp_json_text(j, "service", m->service, sizeof(m->service));
+	if (ok) {
+		m->id = (uint64_t)json_integer_value(id);
+		m->slots = (uint32_t)json_integer_value(slots);
+		m->serving = json_is_true(json_object_get(j, "serving"));
+	}
+	json_decref(j);
+	return ok;
+}
+
+static struct directory_record **find_record(struct fp_directory *d,
+					     const char *key)
+{
+	const char *name = key + strlen(NODES_PREFIX);
+	struct directory_record **at = &d->records;
+
+	while (*at && strcmp((*at)->member.name, name) != 0)
+		at = &(*at)->next;
+	return at;
+}
+
+static void publish(struct fp_directory *d)
+{
+	struct fp_member_table *m;
+	struct directory_record *rec;
+	uint32_t n = 0;
+
+	for (rec = d->records; rec; rec = rec->next)
+		n++;
+	m = calloc(1, sizeof(*m) + (n + 1) * sizeof(m->members[0]));
+	if (!m)
+		abort();
+	/* This node itself is known better than by its record. */
+	m->members[m->n++] = d->cfg.self;
+	for (rec = d->records; rec; rec = rec->next)
+		if (strcmp(rec->member.name, d->cfg.self.name) != 0)
+			m->members[m->n++] = rec->member;
+	d->ops.members(d->ops.ctx, m);
+}
+
+static void is_missing(struct fp_directory *d, struct directory_record *rec)
+{
+	if (rec->missing_us)
+		return;
+	rec->missing_us = fp_loop_now_us(d->loop);
+	fp_log(FP_LOG_INFO, "member_missing", "member=%s", rec->member.name);
+	/* The own record lapsed: it is written again under a new lease. */
+	if (strcmp(rec->member.name, d->cfg.self.name) == 0 && !d->leaving &&
+	    rec->member.id == d->cfg.self.id && d->written)
+		self_changed(d);
+}
+
+/* Returns whether anything changed. */
+static bool take_record(struct fp_directory *d,
+			const struct fp_registry_item *it)
+{
+	struct directory_record **at;
+	struct fp_member m;
+	struct directory_record *rec;
+
+	if (strncmp(it->key, NODES_PREFIX, strlen(NODES_PREFIX)) != 0)
+		return false;
+	at = find_record(d, it->key);
+	rec = *at;
+	if (it->removed) {
+		if (rec)
+			is_missing(d, rec);
+		return false;
+	}
+	if (!decode(it, &m) ||
+	    strcmp(m.name, it->key + strlen(NODES_PREFIX)) != 0) {
+		fp_log(FP_LOG_WARN, "member_unreadable", "key=%s", it->key);
+		return false;
+	}
+	if (!rec) {
+		rec = calloc(1, sizeof(*rec));
+		if (!rec)
+			abort();
+		*at = rec;
+	}
+	rec->seen = true;
+	rec->missing_us = 0;
+	if (rec->revision == it->revision)
+		return false;
+	rec->revision = it->revision;
+	rec->member = m;
+	fp_log(FP_LOG_INFO, "member_seen",
+	       "member=%s id=%016" PRIx64 " service=%s slots=%u serving=%d "
+	       "revision=%" PRIu64,
+	       m.name, m.id, m.service, m.slots, m.serving, it->revision);
+	return true;
+}
+
+/*
+ * Drops what a listing that was answered just now still lacks after its time.
+ * Returns whether there was any.
+ */
+static bool drop_gone(struct fp_directory *d)
+{
+	int64_t now_us = fp_loop_now_us(d->loop);
+	struct directory_record **at = &d->records;
+	bool changed = false;
+	struct directory_record *rec;
+
+	while ((rec = *at)) {
+		if (!rec->missing_us || now_us - rec->missing_us < GONE_US) {
+			at = &rec->next;
+			continue;
+		}
+		fp_log(FP_LOG_INFO, "member_gone",
+		       "member=%s missing_ms=%" PRId64, rec->member.name,
+		       (now_us - rec->missing_us) / FP_US_PER_MS);
+		*at = rec->next;
+		free(rec);
+		changed = true;
+	}
+	d->listed = true;
+	return changed;
+}
+
+static bool any_missing(const struct fp_directory *d)
+{
+	const struct directory_record *rec = d->records;
+
+	while (rec && !rec->missing_us)
+		rec = rec->next;
+	return rec != NULL;
+}
+
+static void on_others(void *ctx, const struct fp_registry_result *r)
+{
+	struct fp_directory *d = ctx;
+	bool listing = d->others_after == 0;
+	bool changed = listing && !d->listed;
+	struct directory_record *rec;
+	size_t i;
+
+	if (d->closed)
+		return;
+	if (r->status == FP_EXHAUSTED) {
+		d->others_after = 0;
+		directory_run_after(&d->others, 0);
+		return;
+	}
+	if (r->status != FP_OK) {
+		directory_failed(&d->others, r->status);
+		return;
+	}
+	directory_succeeded(&d->others);
+	for (rec = d->records; listing && rec; rec = rec->next)
+		rec->seen = false;
+	for (i = 0; i < r->n_items; i++)
+		changed |= take_record(d, &r->items[i]);
+	for (rec = d->records; listing && rec; rec = rec->next)
+		if (!rec->seen)
+			is_missing(d, rec);
+	if (listing)
+		changed |= drop_gone(d);
+	d->others_after = any_missing(d) ? 0 : r->revision;
+	if (changed)
+		publish(d);
+	directory_run_after(&d->others, OTHERS_PAUSE_US);
+}
+
+void directory_step_others(struct fp_directory *d)
+{
+	struct fp_registry *r = d->cfg.registry;
+
+	if (d->others_after)
+		r->ops->watch(r, NODES_PREFIX, d->others_after, OTHERS_WAIT_US,
+			      on_others, d);
+	else
+		r->ops->list(r, NODES_PREFIX, on_others, d);
+}
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -22,9 +22,8 @@
 /* How long after the deadline the exit node's own verdict is waited for. */
 #define VERDICT_GRACE_US (20 * FP_US_PER_MS)
 #define MIN_ATTEMPT_US	 (20 * FP_US_PER_MS)
-/* Bounds of the time after which a refused caller may come back. */
+/* Least time after which a refused caller may come back. */
 #define RETRY_AFTER_MIN_US (100 * FP_US_PER_MS)
-#define RETRY_AFTER_MAX_US FP_US_PER_S
 /* Of the latency aimed at, so that the second try can still be in time. */
 #define RETRY_AFTER_PART 4
 
@@ -124,8 +123,8 @@
 {
 	int64_t us = c->target_us / RETRY_AFTER_PART;
 
-	if (!c->target_us || us > RETRY_AFTER_MAX_US)
-		return RETRY_AFTER_MAX_US;
+	if (!c->target_us || us > FP_RETRY_AFTER_US)
+		return FP_RETRY_AFTER_US;
 	return us < RETRY_AFTER_MIN_US ? RETRY_AFTER_MIN_US : us;
 }
 
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -67,6 +67,9 @@
 /** Sends it to a worker; the call may be over when this returns. */
 void call_send(struct call *c);
 
+/** When callers come back where nothing better is known, microseconds. */
+#define FP_RETRY_AFTER_US FP_US_PER_S
+
 /** When a caller that is refused for load had better come back. */
 int64_t call_retry_after_us(const struct call *c);
 
--- a/src/node/claim.c
+++ b/src/node/claim.c
@@ -26,10 +26,9 @@
 #define TAKE_US	   (1500 * FP_US_PER_MS)
 #define CONFIRM_US (30 * FP_US_PER_S)
 /* Before its deadline a second arrival is told that the first one runs. */
-#define LAST_WORD_US   (100 * FP_US_PER_MS)
-#define MAX_COURIERS   4096u
-#define RETRY_AFTER_US FP_US_PER_S
-#define MAX_KEY_BYTES  128
+#define LAST_WORD_US  (100 * FP_US_PER_MS)
+#define MAX_COURIERS  4096u
+#define MAX_KEY_BYTES 128
 
 /** One message that is sent again until it is answered. */
 struct courier {
@@ -274,7 +273,7 @@
 	case FP_FULL:
 		c->claim_open = false;
 		call_refuse(c, FP_OUTCOME_NOT_RUN, FP_REASON_CLAIM_FULL,
-			    RETRY_AFTER_US);
+			    FP_RETRY_AFTER_US);
 		return;
 	default:
 		call_refuse(c, FP_OUTCOME_UNKNOWN, FP_REASON_CLAIM_LOST, 0);
@@ -354,7 +353,7 @@
 						  FP_OUTCOME_NOT_RUN,
 				    k->standing ? FP_REASON_IN_PROGRESS :
 						  FP_REASON_NO_CLAIM,
-				    RETRY_AFTER_US);
+				    FP_RETRY_AFTER_US);
 		else
 			courier_free(t, k);
 	}
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -2,8 +2,9 @@
  * execution.c - calls that this node's backend server runs
  *
  * Each execution has an opaque id, random, that the worker is handed and
- * gives back with the calls it makes. What a nested call may do follows from
- * the execution found by that id, never from what the worker sends.
+ * gives back with the calls it makes; where the worker cannot, the caller's id
+ * of its request stands for it. What a nested call may do follows from the
+ * execution found by that id, never from what the worker sends.
  *
  * Admission decides which one starts. Its verdicts are collected while it is
  * called and carried out after it has returned, since carrying one out may
@@ -17,14 +18,9 @@
 #include <strings.h>
 
 #include "base/log.h"
-#include "node/traffic_private.h"
-
-#define OWN_HEADERS	  8
-#define CALL_HEX_BYTES	  (FP_CALL_ID_BYTES * 2 + 1)
-#define CANCEL_TIMEOUT_US (200 * FP_US_PER_MS)
+#include "node/execution_private.h"
 
 #define DEFAULT_QUEUE_TARGET_US (20 * FP_US_PER_MS)
-#define MAX_FAILED		16
 #define FIRST_VERDICTS		64
 #define QUEUED_PER_SLOT		8u
 #define MIN_QUEUED		32u
@@ -36,28 +32,6 @@
 	enum fp_reason why; /* FP_REASON_NONE: start it */
 };
 
-/** One call at the worker, from its arrival to its reply. */
-struct execution {
-	struct fp_traffic *t;
-	struct fp_peer_link *link; /* NULL: from this node itself */
-	bool link_gone; /* the reply goes to nobody */
-	uint8_t call_id[FP_CALL_ID_BYTES];
-	uint8_t *data; /* the encoded call, which msg points into */
-	struct fp_msg_call msg;
-	struct fp_msg_memory memory;
-	struct fp_attempt_pot pot;
-	uint64_t admission_id;
-	const char *request_id; /* the caller's; NULL: none */
-	bool running; /* admission started it */
-	int64_t deadline_us;
-	int64_t sent_us; /* to the backend server */
-	struct fp_http_send *send;
-	struct fp_touch touched[FP_EARLY_MAX_TOUCHED];
-	uint32_t n_touched;
-	uint64_t failed[MAX_FAILED]; /* prints of nested calls that failed */
-	uint32_t n_failed;
-};
-
 struct execution *execution_find_request(struct fp_traffic *t, const char *id)
 {
 	return apr_hash_get(t->requests, id, APR_HASH_KEY_STRING);
@@ -234,65 +208,6 @@
 
 /* --- at the backend server --- */
 
-static void copy_answer(const struct fp_traffic *t,
-			const struct fp_http_result *res,
-			struct fp_msg_reply *r)
-{
-	uint32_t i;
-
-	for (i = 0; i < res->n_headers; i++) {
-		if (!answer_header_passes(t, res->headers[i].name) ||
-		    r->content.n_headers == FP_MAX_CALL_HEADERS)
-			continue;
-		r->content.headers[r->content.n_headers].name =
-			res->headers[i].name;
-		r->content.headers[r->content.n_headers].value =
-			res->headers[i].value;
-		r->content.n_headers++;
-	}
-	r->content.body = res->body;
-	r->content.body_bytes = res->body_bytes;
-}
-
-static bool says_not_run(const struct fp_traffic *t,
-			 const struct fp_http_result *res)
-{
-	const char *mark = fp_http_find_header(res->headers, res->n_headers,
-					       t->dialect->not_run);
-
-	if (t->dialect->other_not_run)
-		return mark || res->http_status == 421;
-	return res->http_status == 503 && mark && strcmp(mark, "1") == 0;
-}
-
-static void judge(const struct fp_traffic *t, const struct fp_http_result *res,
-		  struct fp_msg_reply *r)
-{
-	r->outcome = FP_OUTCOME_UNKNOWN;
-	switch (res->status) {
-	case FP_OK:
-		r->outcome = FP_OUTCOME_RAN;
-		r->http_status = res->http_status;
-		if (!says_not_run(t, res)) {
-			copy_answer(t, res, r);
-			return;
-		}
-		r->outcome = FP_OUTCOME_NOT_RUN;
-		r->reason = res->http_status == 421 ? FP_REASON_STOPPING :
-						      FP_REASON_OVERLOADED;
-		return;
-	case FP_UNAVAILABLE:
-		r->outcome = FP_OUTCOME_NOT_RUN;
-		r->reason = FP_REASON_NO_WORKER;
-		return;
-	case FP_TIMEOUT:
-		r->reason = FP_REASON_DEADLINE;
-		return;
-	default:
-		r->reason = FP_REASON_CUT;
-	}
-}
-
 /* Tells admission that a started execution has ended. */
 static void leave_slot(struct execution *e, bool overloaded)
 {
@@ -314,7 +229,7 @@
 
 	e->send = NULL;
 	r.run_us = fp_loop_now_us(t->loop) - e->sent_us;
-	judge(t, res, &r);
+	backend_judge(t, res, &r);
 	if (r.reason != FP_REASON_NONE || r.http_status >= 500)
 		log_end(e, r.outcome, r.reason, r.run_us);
 	if (r.reason == FP_REASON_CUT || r.reason == FP_REASON_NO_WORKER)
@@ -326,77 +241,12 @@
 	execution_verdicts(t);
 }
 
-static void ignore_result(void *ctx, const struct fp_http_result *res)
-{
-	(void)ctx;
-	(void)res;
-}
-
-static void backend_url(const struct fp_traffic *t, const char *uri, char *url,
-			size_t size)
-{
-	if (t->settings->backend_address[0])
-		snprintf(url, size, "http://%s%s", t->settings->backend_address,
-			 uri);
-	else
-		snprintf(url, size, "http://%s:%u%s",
-			 t->settings->local_address, t->worker.port, uri);
-}
-
-static void tell_cancelled(struct execution *e)
-{
-	struct fp_traffic *t = e->t;
-	char hex[CALL_HEX_BYTES];
-	char url[FP_ADDRESS_BYTES + 64];
-	struct fp_http_header h = { t->dialect->call, hex };
-	struct fp_http_out o = { .method = "POST",
-				 .url = url,
-				 .headers = &h,
-				 .n_headers = 1,
-				 .timeout_us = CANCEL_TIMEOUT_US,
-				 .max_answer_bytes = 4096 };
-
-	if (!t->dialect->cancel_path)
-		return;
-	sodium_bin2hex(hex, sizeof(hex), e->call_id, sizeof(e->call_id));
-	backend_url(t, t->dialect->cancel_path, url, sizeof(url));
-	fp_http_send(t->client, &o, ignore_result, NULL, NULL);
-}
-
-static void put_header(struct fp_http_header *h, uint32_t *n, const char *name,
-		       const char *value)
-{
-	if (name && value[0])
-		h[(*n)++] = (struct fp_http_header){ name, value };
-}
-
-static uint32_t own_headers(const struct execution *e, int64_t left_us,
-			    struct fp_http_header *h, char texts[3][64])
-{
-	const struct fp_dialect *d = e->t->dialect;
-	uint32_t n = 0;
-
-	sodium_bin2hex(texts[0], 64, e->call_id, sizeof(e->call_id));
-	sodium_bin2hex(texts[1], 64, e->msg.root, sizeof(e->msg.root));
-	snprintf(texts[2], 64, "%" PRId64, left_us / FP_US_PER_MS);
-	put_header(h, &n, d->call, texts[0]);
-	put_header(h, &n, d->root, texts[1]);
-	put_header(h, &n, d->deadline_ms, texts[2]);
-	/* Where a nested call shows no key, no organisation is told either. */
-	if (!e->msg.nested || !d->nested_mark)
-		put_header(h, &n, d->org, e->msg.org);
-	put_header(h, &n, d->cls, fp_class_name(e->msg.cls));
-	put_header(h, &n, d->caller_service, e->msg.caller);
-	put_header(h, &n, d->target, e->t->worker.instance);
-	return n;
-}
-
 static void run(struct execution *e)
 {
 	struct fp_traffic *t = e->t;
-	struct fp_http_header h[FP_MAX_CALL_HEADERS + OWN_HEADERS];
+	struct fp_http_header h[FP_MAX_CALL_HEADERS + BACKEND_OWN_HEADERS];
 	char url[FP_URI_BYTES + FP_ADDRESS_BYTES + 32];
-	char texts[3][64];
+	char texts[BACKEND_TEXTS][BACKEND_TEXT_BYTES];
 	uint32_t i;
 	struct fp_http_out o = { .method = e->msg.method,
 				 .url = url,
@@ -419,7 +269,7 @@
 		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_DEADLINE);
 		return;
 	}
-	o.n_headers = own_headers(e, o.timeout_us, h, texts);
+	o.n_headers = backend_headers(e, o.timeout_us, h, texts);
 	for (i = 0; i < e->msg.content.n_headers; i++) {
 		h[o.n_headers].name = e->msg.content.headers[i].name;
 		h[o.n_headers].value = e->msg.content.headers[i].value;
@@ -629,7 +479,7 @@
 	if (e->send) {
 		fp_http_cancel(e->send);
 		e->send = NULL;
-		tell_cancelled(e);
+		backend_cancel(e);
 	}
 	if (e->running)
 		leave_slot(e, false);
--- /dev/null
+++ b/src/node/handover.c
@@ -0,0 +1,274 @@
+/*
+ * handover.c - what other threads hand to the traffic thread
+ *
+ * Each value is copied or given away, and taken over as posted work.
+ */
+#include <sodium.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "node/traffic_private.h"
+#include "protocol/msg_crash.h"
+#include "protocol/msg_shared.h"
+
+/* Work handed to the traffic thread. */
+struct handed {
+	struct fp_traffic *t;
+	void *value;
+};
+
+static void post(struct fp_traffic *t, fp_loop_fn fn, void *value)
+{
+	struct handed *h = malloc(sizeof(*h));
+
+	if (!h)
+		abort();
+	h->t = t;
+	h->value = value;
+	fp_loop_post(t->loop, fn, h);
+}
+
+static void take_config(void *ctx)
+{
+	struct handed *h = ctx;
+	struct fp_traffic *t = h->t;
+	struct fp_config *c = h->value;
+
+	free(h);
+	if (t->config && c->revision <= t->config->revision) {
+		fp_config_end(c);
+		return;
+	}
+	fp_config_end(t->config);
+	t->config = c;
+	fp_counter_set(t->n.config_revision, (int64_t)c->revision);
+	execution_set_params(t);
+	limits_config(t);
+	tokens_config(t);
+}
+
+static void remove_lost_workers(struct fp_traffic *t,
+				const struct fp_member_table *old)
+{
+	uint32_t i;
+
+	for (i = 0; old && i < old->n; i++)
+		if (!traffic_member(t, old->members[i].id))
+			fp_choice_remove(t->choice, old->members[i].id);
+}
+
+static void put_worker(struct fp_traffic *t, const struct fp_member *m,
+		       int64_t now_us)
+{
+	struct fp_choice_worker w = { .id = m->id,
+				      .slots = m->slots,
+				      .serving = m->serving,
+				      .suspected = m->suspected,
+				      .since_us = now_us };
+
+	memcpy(w.service, m->service, sizeof(w.service));
+	memcpy(w.failure_domain, m->failure_domain, sizeof(w.failure_domain));
+	memcpy(w.region, m->region, sizeof(w.region));
+	fp_choice_put(t->choice, &w, now_us);
+}
+
+static void take_members(void *ctx)
+{
+	struct handed *h = ctx;
+	struct fp_traffic *t = h->t;
+	struct fp_member_table *old = t->members;
+	uint32_t i;
+
+	t->members = h->value;
+	free(h);
+	remove_lost_workers(t, old);
+	free(old);
+	for (i = 0; i < t->members->n; i++)
+		put_worker(t, &t->members->members[i], fp_loop_now_us(t->loop));
+	tokens_members(t);
+}
+
+/* Bytes handed over. */
+struct handed_bytes {
+	size_t bytes;
+	uint8_t data[];
+};
+
+static void take_from_slice(void *ctx)
+{
+	struct handed *h = ctx;
+	struct handed_bytes *b = h->value;
+	struct fp_msg_shared m;
+
+	if (fp_msg_shared_decode(b->data, b->bytes, &m) != FP_OK)
+		fp_counter_add(h->t->n.bad_messages, 1);
+	else if (m.type == FP_MSG_GRANT_ANSWER)
+		tokens_answer(h->t, m.id, &m.grant_answer);
+	else if (m.type == FP_MSG_CLAIM_ANSWER)
+		claim_answer(h->t, m.id, &m.claim_answer);
+	free(b);
+	free(h);
+}
+
+void fp_traffic_from_slice(struct fp_traffic *t, const void *data, size_t bytes)
+{
+	struct handed_bytes *b = malloc(sizeof(*b) + bytes);
+
+	if (!b)
+		abort();
+	b->bytes = bytes;
+	memcpy(b->data, data, bytes);
+	post(t, take_from_slice, b);
+}
+
+void traffic_tell_crash(struct fp_traffic *t, uint64_t fingerprint,
+			uint64_t crash_id)
+{
+	struct fp_msg_crash m = { fingerprint, crash_id };
+	struct fp_peer_link *link;
+	msgpack_sbuffer buf;
+	uint32_t i;
+
+	if (!t->hosted) {
+		t->hooks.crash(t->hooks.ctx, fingerprint, crash_id);
+		return;
+	}
+	msgpack_sbuffer_init(&buf);
+	fp_msg_crash_encode(&m, &buf);
+	for (i = 0; t->members && i < t->members->n; i++) {
+		if (t->members->members[i].id == t->node_id)
+			continue;
+		link = fp_peer_link_to(t->peers,
+				       t->members->members[i].peer_addr);
+		/* Who does not hear of it learns at the next crash. */
+		if (link)
+			fp_peer_send(link, buf.data, buf.size);
+	}
+	msgpack_sbuffer_destroy(&buf);
+}
+
+/* A crash handed over. */
+struct handed_crash {
+	uint64_t fingerprint;
+	uint64_t crash_id;
+};
+
+static void take_crash(void *ctx)
+{
+	struct handed *h = ctx;
+	struct handed_crash *k = h->value;
+
+	limits_crash(h->t, k->fingerprint, k->crash_id);
+	free(k);
+	free(h);
+}
+
+void fp_traffic_crash(struct fp_traffic *t, uint64_t fingerprint,
+		      uint64_t crash_id)
+{
+	struct handed_crash *k = malloc(sizeof(*k));
+
+	if (!k)
+		abort();
+	k->fingerprint = fingerprint;
+	k->crash_id = crash_id;
+	post(t, take_crash, k);
+}
+
+static void set_isolated(struct fp_traffic *t, bool isolated)
+{
+	if (t->isolated == isolated)
+		return;
+	t->isolated = isolated;
+	fp_log(FP_LOG_WARN, "isolation", "isolated=%d", isolated);
+}
+
+static void take_isolated(void *ctx)
+{
+	struct handed *h = ctx;
+
+	set_isolated(h->t, true);
+	free(h);
+}
+
+static void take_reached(void *ctx)
+{
+	struct handed *h = ctx;
+
+	set_isolated(h->t, false);
+	free(h);
+}
+
+void fp_traffic_set_isolated(struct fp_traffic *t, bool isolated)
+{
+	post(t, isolated ? take_isolated : take_reached, NULL);
+}
+
+static void take_secrets(void *ctx)
+{
+	struct handed *h = ctx;
+	struct fp_settings *s = h->value;
+
+	fp_peer_set_secrets(h->t->peers, s->secrets, s->n_secrets);
+	h->t->has_secret = s->n_secrets > 0;
+	sodium_memzero(s, sizeof(*s));
+	free(s);
+	free(h);
+}
+
+void traffic_withdraw_worker(struct fp_traffic *t, int64_t now_us)
+{
+	if (t->withdrawn)
+		return;
+	t->withdrawn = true;
+	worker_tick(t, now_us);
+}
+
+static void begin_drain(void *ctx)
+{
+	struct handed *h = ctx;
+	struct fp_traffic *t = h->t;
+
+	free(h);
+	t->draining = true;
+	t->drain_began_us = fp_loop_now_us(t->loop);
+	fp_log(FP_LOG_INFO, "draining", "calls=%u executions=%u", t->n_calls,
+	       t->n_executions);
+	/* A hosted node may be stopped while its worker goes on: that serves
+	 * the others as long as callers are still on their way elsewhere. */
+	if (!t->hosted)
+		traffic_withdraw_worker(t, fp_loop_now_us(t->loop));
+	fp_http_server_close_answers(t->callers);
+}
+
+void fp_traffic_set_config(struct fp_traffic *t, struct fp_config *c)
+{
+	post(t, take_config, c);
+}
+
+void fp_traffic_set_members(struct fp_traffic *t, struct fp_member_table *m)
+{
+	post(t, take_members, m);
+}
+
+void fp_traffic_set_current(struct fp_traffic *t, int64_t asked_us)
+{
+	atomic_store(&t->current_us, asked_us);
+}
+
+void fp_traffic_set_secrets(struct fp_traffic *t, const struct fp_settings *s)
+{
+	struct fp_settings *copy = malloc(sizeof(*copy));
+
+	if (!copy)
+		abort();
+	*copy = *s;
+	post(t, take_secrets, copy);
+}
+
+void fp_traffic_drain(struct fp_traffic *t)
+{
+	post(t, begin_drain, NULL);
+}
--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -215,8 +215,7 @@
 					.current = on_current,
 					.ctx = h };
 	struct fp_directory_config cfg = { .clock = clock,
-					   .dialect = p->dialect,
-					   .counters = h->counters };
+					   .dialect = p->dialect };
 	enum fp_status st = fp_loop_init(clock, &h->loop);
 
 	if (st == FP_OK)
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -28,8 +28,7 @@
 #define ASK_AGAIN_US	 (20 * FP_US_PER_MS)
 #define MAX_WAITING	 1024u
 /* After so long with an owner the equal part begins with a token. */
-#define SHARE_REST_US  (2 * FP_US_PER_S)
-#define RETRY_AFTER_US FP_US_PER_S
+#define SHARE_REST_US (2 * FP_US_PER_S)
 
 /** One organisation's tokens and the calls that wait for one. */
 struct org_tokens {
@@ -236,7 +235,7 @@
 	tokens_forget(c);
 	call_refuse(c, FP_OUTCOME_NOT_RUN,
 		    o->exhausted ? FP_REASON_OVER_RATE : FP_REASON_NO_TOKENS,
-		    RETRY_AFTER_US);
+		    FP_RETRY_AFTER_US);
 }
 
 /* Refuses those that would wait in vain until wait_us from now. */
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -123,6 +123,9 @@
 /** Finds a member by node id; NULL when there is none. */
 const struct fp_member *traffic_member(const struct fp_traffic *t, uint64_t id);
 
+/** From now on the worker gets no new work through this node. */
+void traffic_withdraw_worker(struct fp_traffic *t, int64_t now_us);
+
 /** Tells the fleet that a request was in flight when the worker crashed. */
 void traffic_tell_crash(struct fp_traffic *t, uint64_t fingerprint,
 			uint64_t crash_id);
--- a/src/protocol/dialect.c
+++ b/src/protocol/dialect.c
@@ -4,8 +4,6 @@
 #include <jansson.h>
 #include <string.h>
 
-#define MAX_SLOTS 100000
-
 static enum fp_status read_fields(json_t *j, struct fp_announcement *out)
 {
 	const char *instance =
@@ -19,7 +17,8 @@
 	if (!state ||
 	    (strcmp(state, "serving") != 0 && strcmp(state, "leaving") != 0))
 		return fp_fail(FP_INVALID, "announcement: state");
-	if (port <= 0 || port > UINT16_MAX || slots <= 0 || slots > MAX_SLOTS)
+	if (port <= 0 || port > UINT16_MAX || slots <= 0 ||
+	    slots > FP_MAX_SLOTS)
 		return fp_fail(FP_INVALID, "announcement: port or slots");
 	out->port = (uint16_t)port;
 	out->slots = (uint32_t)slots;
@@ -51,8 +50,6 @@
 	.org = "Fulmar-Org",
 	.cls = "Fulmar-Class",
 	.not_run = "Fulmar-Not-Run",
-	.outcome = "Fulmar-Outcome",
-	.reason = "Fulmar-Reason",
 	.cancel_path = "/fulmar/cancel",
 	.announcement = read_announcement,
 };
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -19,6 +19,9 @@
 extern "C" {
 #endif
 
+/** Most places that a backend server may announce. */
+#define FP_MAX_SLOTS 100000
+
 /** What a backend server said of itself. */
 struct fp_announcement {
 	char instance[FP_NAME_BYTES]; /**< id of this start of the server */
@@ -45,8 +48,6 @@
 	const char *caller_service; /**< to the server: where it began */
 	const char *target; /**< to the server: the instance meant */
 	const char *not_run; /**< from the server, present or "1" */
-	const char *outcome; /**< to the caller: ran, not-run, unknown */
-	const char *reason; /**< to the caller: why it was refused */
 	const char *cancel_path; /**< posted to the server; NULL: closing
 				  *   the connection says it */
 	const char *ready_path; /**< asked at the readiness address */
--- /dev/null
+++ b/src/protocol/json.c
@@ -0,0 +1,14 @@
+/* json.c - members of JSON objects, checked */
+#include "protocol/json.h"
+
+#include <string.h>
+
+bool fp_json_text(const json_t *j, const char *name, char *to, size_t size)
+{
+	const char *text = json_string_value(json_object_get(j, name));
+
+	if (!text || !text[0] || strlen(text) >= size)
+		return false;
+	memcpy(to, text, strlen(text) + 1);
+	return true;
+}
--- /dev/null
+++ b/src/protocol/json.h
@@ -0,0 +1,19 @@
+/* json.h - members of JSON objects, checked */
+#ifndef FP_PROTOCOL_JSON_H
+#define FP_PROTOCOL_JSON_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** Copies a text; false when it is absent, empty or does not fit. */
+bool fp_json_text(const json_t *j, const char *name, char *to, size_t size);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -24,6 +24,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "transport/http_framing.h"
+
 #define SWEEP_US	  (100 * FP_US_PER_MS)
 #define IDLE_TIMEOUT_S	  60
 #define BODY_FIRST_BYTES  1024
@@ -316,34 +318,6 @@
 	return MHD_YES;
 }
 
-/* How often the headers that end a body were given. */
-struct framing {
-	uint32_t lengths;
-	uint32_t encodings;
-};
-
-static enum MHD_Result count_framing(void *ctx, enum MHD_ValueKind kind,
-				     const char *name, const char *value)
-{
-	struct framing *f = ctx;
-
-	(void)kind;
-	(void)value;
-	if (strcasecmp(name, "Content-Length") == 0)
-		f->lengths++;
-	if (strcasecmp(name, "Transfer-Encoding") == 0)
-		f->encodings++;
-	return MHD_YES;
-}
-
-static bool framing_is_unclear(struct MHD_Connection *conn)
-{
-	struct framing f = { 0 };
-
-	MHD_get_connection_values(conn, MHD_HEADER_KIND, count_framing, &f);
-	return f.lengths + f.encodings > 1;
-}
-
 static enum MHD_Result on_access(void *ctx, struct MHD_Connection *conn,
 				 const char *url, const char *method,
 				 const char *version, const char *data,
@@ -360,7 +334,7 @@
 	if (!x->method[0]) {
 		snprintf(x->method, sizeof(x->method), "%s", method);
 		/* Where the body ends must not depend on who reads it. */
-		if (framing_is_unclear(conn))
+		if (http_framing_is_unclear(conn))
 			return refuse_and_close(x);
 		return MHD_YES;
 	}
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -25,17 +25,15 @@
     "platform": {"base", "state", "transport", "protocol", "coordination",
                  "platform"},
 }
-# Names of the platform's wire, settings and store.
-PLATFORM_WORDS = re.compile(
-    r"Fulmarpass-[A-Z]|kv-(key|range|watch|txn|lease|keep)|heartbeatAddr|"
-    r"appAddr|trafficSplit|pathPrefix|apiKeys|ratePerS|coldRemaining|"
-    r"FULMARPASS_BOOT|op/config|/instances/")
+PLATFORM_WORDS = re.compile("|".join(
+    w for w in pathlib.Path("platform/words.txt").read_text().splitlines()
+    if w and not w.startswith("#")))
 
 
 def main() -> int:
     bad = 0
     paths = [(p, p.parts[1]) for p in pathlib.Path("src").rglob("*.[ch]*")]
-    paths += [(p, "platform") for p in pathlib.Path("platform").iterdir()]
+    paths += [(p, "platform") for p in pathlib.Path("platform").glob("*.[ch]")]
     for path, layer in sorted(paths):
         for line in path.read_text().splitlines():
             m = re.match(r'#include "([a-z]+)/', line)
