A member's time to return counts from the last return of the store

The lines: members went missing at 27.110, the store fell silent at 27.5, the first listing after it was answered at 29.757 and both members were dropped in the same moment (missing_ms=2646). Their records had lapsed a second time; they had no time to write them again. Cause: the time that a member may be missing ran on while the store was away. Change: when a call for the members failed, it counts anew from the next listing that is answered. Price: beside a store that loses answers now and then, a member that is gone stays in the table longer; its lost link keeps requests away from it.

--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -4,7 +4,8 @@
  * A record that went missing may have lapsed while the store was away: its node
  * writes it again as soon as it reaches the store. As long as any is missing all
  * are listed again and again; one that a listing lacks after GONE_US is gone. A
- * watch would not do: it may hang, and says nothing of what is not there.
+ * watch would not do: it may hang, and says nothing of what is not there. When
+ * the store was away in between, GONE_US counts anew from its return.
  */
 #include <inttypes.h>
 #include <jansson.h>
@@ -290,6 +291,8 @@
 	struct directory_record *rec;
 
 	while ((rec = *at)) {
+		if (rec->missing_us && d->was_away)
+			rec->missing_us = now_us;
 		if (!rec->missing_us || now_us - rec->missing_us < GONE_US) {
 			at = &rec->next;
 			continue;
@@ -302,6 +305,7 @@
 		changed = true;
 	}
 	d->listed = true;
+	d->was_away = false;
 	return changed;
 }
 
@@ -330,6 +334,7 @@
 		return;
 	}
 	if (r->status != FP_OK) {
+		d->was_away = true;
 		directory_failed(&d->others, r->status);
 		return;
 	}
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -18,7 +18,8 @@
 struct directory_record {
 	struct fp_member member;
 	uint64_t revision;
-	int64_t missing_us; /* since when it is not there; 0: it is there */
+	/* Since when it is not there, or the store is back; 0: it is there. */
+	int64_t missing_us;
 	bool seen; /* in the listing under way */
 	struct directory_record *next;
 };
@@ -43,6 +44,7 @@
 	bool dirty; /* it changed during the write */
 	bool leaving;
 	bool listed; /* all records were read once */
+	bool was_away; /* the store failed since the last listing */
 	uint64_t others_after; /* watched from; 0: to be read */
 	struct directory_record *records;
 };
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -610,6 +610,30 @@
 	EXPECT_EQ(1u, names.count("n2"));
 }
 
+/*
+ * The store goes away a second time before a listing shows that a lapsed member
+ * is back: its two seconds count from the second return.
+ */
+TEST_F(Directory, AMembersTimeCountsFromTheLastReturnOfTheStore)
+{
+	store.write("op/config", config(5));
+	store.write("fulmar/nodes/n2", other("n2", 2, true));
+	start();
+	run_ms(600);
+	store.remove("fulmar/nodes/n2");
+	run_ms(450);
+	store.failing = FP_TIMEOUT;
+	store.cut_watches();
+	run_ms(4000);
+	store.failing = FP_OK;
+	for (int ms = 0; ms < 2000; ms++) {
+		run_ms(1);
+		ASSERT_EQ(1u, names.count("n2")) << ms << " ms after the return";
+	}
+	run_ms(3000);
+	EXPECT_EQ(0u, names.count("n2"));
+}
+
 /* A lapsed record is written again; the watch that would tell it hangs. */
 TEST_F(Directory, ARecordThatIsBackIsSeenThoughWatchesHang)
 {
