A filling bucket ends the equal parts of those that ask it

Cause: by the lines, the new owner's bucket earned from 11.64 s on, and its askers went from rate_joined to rate_alone 500 times in the 1.2 s after: an empty bucket that was still filling answered FP_AGAIN, which the askers took for no owner. Whole rate and equal parts were spent together. Change: a bucket that does not earn yet answers FP_UNAVAILABLE, so equal parts go on; one that earns answers FP_AGAIN, which ends them. Who waits then is refused after the same 50 ms as with an empty bucket. Test: Hosted.ARateHoldsWhileItsOwnerIsReplaced fails before (269 of 240 allowed in 2 s), passes after.

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -31,6 +31,7 @@
 struct org_bucket {
 	char org[FP_NAME_BYTES];
 	struct fp_bucket *bucket;
+	int64_t earns_us; /* before this it grants nothing */
 	int64_t warm_us; /* from here on an empty bucket was emptied */
 	struct org_bucket *next;
 };
@@ -105,8 +106,9 @@
 
 	if (!b)
 		abort();
+	b->earns_us = now_us + FP_GRANT_OWNER_US;
 	b->bucket = fp_bucket_init(rate_here(t, org->rate_per_s), org->burst,
-				   t->node_id, now_us + FP_GRANT_OWNER_US);
+				   t->node_id, b->earns_us);
 	if (!b->bucket)
 		abort();
 	memcpy(b->org, org->name, sizeof(b->org));
@@ -200,7 +202,8 @@
 
 	memset(a, 0, sizeof(*a));
 	a->status = FP_UNAVAILABLE;
-	if (!b)
+	/* Until it earns its askers live on their equal parts, not longer. */
+	if (!b || now_us < b->earns_us)
 		return;
 	a->status = fp_bucket_grant(b->bucket, ask->want, now_us, &a->grant_id,
 				    &a->tokens, &a->wait_us);
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -46,6 +46,7 @@
 	uint64_t ask_id; /* of the open ask, 0: none */
 	int64_t asked_us;
 	bool exhausted; /* the owner's last word was an empty bucket */
+	bool filling; /* it was one that has not had the time to fill */
 };
 
 static int64_t fresh_now_us(const struct fp_traffic *t)
@@ -242,8 +243,8 @@
 static void refuse_hopeless(struct org_tokens *o, int64_t now_us,
 			    int64_t wait_us)
 {
-	int64_t patience_us =
-		o->exhausted || o->alone ? FP_GRANT_WAIT_US : NO_OWNER_WAIT_US;
+	bool heard = o->exhausted || o->filling || o->alone;
+	int64_t patience_us = heard ? FP_GRANT_WAIT_US : NO_OWNER_WAIT_US;
 
 	while (o->first &&
 	       o->first->started_us + patience_us < now_us + wait_us)
@@ -266,7 +267,8 @@
 		return;
 	close_ask(o);
 	o->exhausted = a->status == FP_EXHAUSTED;
-	if (a->status == FP_OK || a->status == FP_EXHAUSTED)
+	o->filling = o->t->hosted && a->status == FP_AGAIN;
+	if (a->status == FP_OK || o->exhausted || o->filling)
 		join(o, now_us);
 	else
 		go_alone(o, now_us);
@@ -280,7 +282,7 @@
 		refuse_hopeless(o, now_us, a->wait_us);
 		break;
 	case FP_AGAIN: /* a new owner's bucket is not full yet */
-	default:
+	default: /* or there is none */
 		fp_grants_refused(o->grants, ASK_AGAIN_US, now_us);
 	}
 	pump(o);
@@ -295,6 +297,7 @@
 		if (o->ask_id && now_us - o->asked_us > ASK_TIMEOUT_US) {
 			close_ask(o);
 			o->exhausted = false;
+			o->filling = false;
 			go_alone(o, now_us);
 			fp_grants_lost(o->grants, now_us);
 		}
--- a/test/standin/lib_platform.c
+++ b/test/standin/lib_platform.c
@@ -316,6 +316,13 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+void platform_store_remove(struct platform_store *s, const char *key)
+{
+	pthread_mutex_lock(&s->lock);
+	set(s, key, NULL, 0);
+	pthread_mutex_unlock(&s->lock);
+}
+
 void platform_store_lapse(struct platform_store *s)
 {
 	pthread_mutex_lock(&s->lock);
--- a/test/standin/lib_platform.h
+++ b/test/standin/lib_platform.h
@@ -30,6 +30,8 @@
 /** Writes an item as the operator does. */
 void platform_store_write(struct platform_store *s, const char *key,
 			  const char *value);
+/** Removes an item, as it goes when its lease lapses. */
+void platform_store_remove(struct platform_store *s, const char *key);
 /** Ends all leases, as they lapse in an outage. */
 void platform_store_lapse(struct platform_store *s);
 /** Number of items under a prefix. */
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -628,7 +628,8 @@
 	store.failing = FP_OK;
 	for (int ms = 0; ms < 2000; ms++) {
 		run_ms(1);
-		ASSERT_EQ(1u, names.count("n2")) << ms << " ms after the return";
+		ASSERT_EQ(1u, names.count("n2"))
+			<< ms << " ms after the return";
 	}
 	run_ms(3000);
 	EXPECT_EQ(0u, names.count("n2"));
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -187,7 +187,7 @@
 		    const std::string &key = "k1",
 		    std::vector<std::string> more = {})
 	{
-		static int n = 0;
+		static std::atomic<int> n{ 0 };
 		std::vector<const char *> headers;
 		std::string url = m.outbound + path;
 		struct http_request req = {};
@@ -267,13 +267,21 @@
 		}
 	}
 
-	static bool says(Machine &m, const char *what)
+	/* How often a node's log holds the text. */
+	static int count(Machine &m, const char *what)
 	{
 		char *log = fleet_read_file(m.node->log_path);
-		bool found = log && strstr(log, what);
+		int n = 0;
 
+		for (char *at = log; at && (at = strstr(at, what)); at++)
+			n++;
 		free(log);
-		return found;
+		return n;
+	}
+
+	static bool says(Machine &m, const char *what)
+	{
+		return count(m, what) > 0;
 	}
 
 	std::string last(Machine &m, const char *name)
@@ -529,4 +537,60 @@
 	EXPECT_GE(ok, std::min(400.0, 0.8 * (100 + 100 * s)));
 }
 
+/*
+ * The owner of the bucket is killed under demand far above the rate, then its
+ * record lapses. Before, between and after the others grant no more than the
+ * rate; the burst was spent.
+ */
+TEST_F(Hosted, ARateHoldsWhileItsOwnerIsReplaced)
+{
+	std::atomic<bool> stop{ false };
+	std::atomic<int> ok{ 0 };
+	std::vector<std::thread> callers;
+	std::vector<int> at; /* answered well, each 100 ms */
+
+	write_config(1);
+	for (const char *service : { "front", "front", "front", "deep" })
+		add(service);
+	begin_beats();
+	for (auto &m : machines)
+		ASSERT_TRUE(wait([&] { return ready(*m) == 200; }));
+	usleep(1500000); /* all know all */
+	size_t owner = 0;
+	while (owner < machines.size() &&
+	       count(*machines[owner], "event=bucket_owned") ==
+		       count(*machines[owner], "event=bucket_left"))
+		owner++;
+	ASSERT_LT(owner, machines.size());
+	for (size_t i = 0; i < machines.size(); i++) {
+		if (i == owner)
+			continue;
+		for (int k = 0; k < 4; k++)
+			callers.emplace_back([&, i] {
+				while (!stop) {
+					ok += call(*machines[i], "/front/x")
+						      .status == 200;
+					usleep(2000);
+				}
+			});
+	}
+	usleep(2500000);
+	fleet_process_kill(machines[owner]->node);
+	for (int i = 0; i < 85; i++) {
+		if (i == 5)
+			platform_store_remove(store, ("fulmar/nodes/n" +
+						      std::to_string(owner + 2))
+							     .c_str());
+		at.push_back(ok);
+		usleep(100000);
+	}
+	stop = true;
+	for (auto &t : callers)
+		t.join();
+	for (size_t i = 0; i + 20 < at.size(); i++)
+		EXPECT_LE(at[i + 20] - at[i], 2 * 100 * 1.1 + 20)
+			<< i * 100 << " ms after the kill";
+	EXPECT_GE(at[84] - at[70], 0.8 * 1.4 * 100);
+}
+
 } // namespace
