A missing member is waited for by a watch, then listed once

Change: the watch goes on, but only until the missing record's time is over; then one listing says whether it is gone. What is seen of others meanwhile comes by the watch. Test: Directory.AMissingMemberCostsFewCalls fails before. The fake store now ends a watch after its time, and one that hangs after the caller's.

--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -2,10 +2,11 @@
  * directory_members.c - this node's record in the store, and the others'
  *
  * A record that went missing may have lapsed while the store was away: its node
- * writes it again as soon as it reaches the store. As long as any is missing all
- * are listed again and again; one that a listing lacks after GONE_US is gone. A
- * watch would not do: it may hang, and says nothing of what is not there. When
- * the store was away in between, GONE_US counts anew from its return.
+ * writes it again as soon as it reaches the store. Records are watched; when one
+ * is missing, only until its time is over. Then all are listed, and what the
+ * listing lacks after GONE_US is gone: a watch may hang, and says nothing of
+ * what is not there. When the store was away in between, GONE_US counts anew
+ * from its return.
  */
 #include <inttypes.h>
 #include <jansson.h>
@@ -309,13 +310,18 @@
 	return changed;
 }
 
-static bool any_missing(const struct fp_directory *d)
+/* How long to watch: until the first missing record's time is over. */
+static int64_t watch_us(const struct fp_directory *d)
 {
-	const struct directory_record *rec = d->records;
+	int64_t now_us = fp_loop_now_us(d->loop);
+	int64_t wait_us = OTHERS_WAIT_US;
+	const struct directory_record *rec;
 
-	while (rec && !rec->missing_us)
-		rec = rec->next;
-	return rec != NULL;
+	for (rec = d->records; rec; rec = rec->next)
+		if (rec->missing_us &&
+		    rec->missing_us + GONE_US - now_us < wait_us)
+			wait_us = rec->missing_us + GONE_US - now_us;
+	return wait_us;
 }
 
 static void on_others(void *ctx, const struct fp_registry_result *r)
@@ -348,7 +354,7 @@
 			is_missing(d, rec);
 	if (listing)
 		changed |= drop_gone(d);
-	d->others_after = any_missing(d) ? 0 : r->revision;
+	d->others_after = r->revision;
 	if (changed)
 		publish(d);
 	directory_run_after(&d->others, OTHERS_PAUSE_US);
@@ -357,9 +363,12 @@
 void directory_step_others(struct fp_directory *d)
 {
 	struct fp_registry *r = d->cfg.registry;
+	int64_t wait_us = watch_us(d);
 
+	if (wait_us <= 0)
+		d->others_after = 0;
 	if (d->others_after)
-		r->ops->watch(r, NODES_PREFIX, d->others_after, OTHERS_WAIT_US,
+		r->ops->watch(r, NODES_PREFIX, d->others_after, wait_us,
 			      on_others, d);
 	else
 		r->ops->list(r, NODES_PREFIX, on_others, d);
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -46,8 +46,10 @@
 		uint64_t after;
 		fp_registry_done_fn done;
 		void *ctx;
+		int64_t end_us;
 	};
 	std::vector<waiting> watches;
+	std::vector<waiting> hung; /* watches that nothing reaches */
 	std::vector<std::pair<uint64_t, std::string>> removals;
 
 	static fake_registry *of(struct fp_registry *r)
@@ -87,7 +89,7 @@
 		return new pending{ done, ctx, failing, revision, 0, {}, {} };
 	}
 
-	bool hang_watches = false; /* they are never answered */
+	bool hang_watches = false; /* the caller's time for them runs out */
 	bool silent = false; /* answers are held back */
 	std::vector<pending *> held;
 
@@ -171,6 +173,31 @@
 			}
 	}
 
+	/* Ends watches whose time is over. */
+	void expire()
+	{
+		int64_t now_us = fp_loop_now_us(loop);
+		auto end = [&](std::vector<waiting> &all, enum fp_status st) {
+			for (size_t i = 0; i < all.size();) {
+				if (all[i].end_us > now_us) {
+					i++;
+					continue;
+				}
+				send(new pending{ all[i].done,
+						  all[i].ctx,
+						  st,
+						  revision,
+						  0,
+						  {},
+						  {} });
+				all.erase(all.begin() + (long)i);
+			}
+		};
+
+		end(watches, FP_OK);
+		end(hung, FP_TIMEOUT);
+	}
+
 	/* Ends all waiting watches, as a store that is restarted does. */
 	void cut_watches()
 	{
@@ -214,10 +241,13 @@
 			  fp_registry_done_fn done, void *ctx)
 	{
 		fake_registry *f = of(r);
+		int64_t end_us = fp_loop_now_us(f->loop) + wait_us;
 
-		(void)wait_us;
-		if (f->hang_watches)
+		if (f->hang_watches) {
+			f->hung.push_back({ prefix, after, done, ctx,
+					    end_us + FP_US_PER_S });
 			return;
+		}
 		if (f->failing != FP_OK || after < f->compacted) {
 			pending *p = f->start("watch", done, ctx);
 
@@ -227,7 +257,7 @@
 			return;
 		}
 		f->calls["watch"]++;
-		f->watches.push_back({ prefix, after, done, ctx });
+		f->watches.push_back({ prefix, after, done, ctx, end_us });
 		f->fire();
 	}
 
@@ -384,6 +414,7 @@
 	void run_ms(int ms)
 	{
 		for (int i = 0; i < ms; i++) {
+			store.expire();
 			for (int round = 0; round < 4; round++)
 				fp_loop_round(loop, 0);
 			fp_manual_clock_advance(&clock, 1000);
@@ -651,6 +682,20 @@
 	EXPECT_EQ(1u, names.count("n2"));
 }
 
+/* Each machine that restarts is missing to all others for a while. */
+TEST_F(Directory, AMissingMemberCostsFewCalls)
+{
+	store.write("op/config", config(5));
+	store.write("fulmar/nodes/n2", other("n2", 2, true));
+	start();
+	run_ms(1000);
+	int before = store.calls["list"] + store.calls["watch"];
+	store.remove("fulmar/nodes/n2");
+	run_ms(5000);
+	EXPECT_EQ(0u, names.count("n2"));
+	EXPECT_LE(store.calls["list"] + store.calls["watch"] - before, 3);
+}
+
 TEST_F(Directory, ALostHistoryIsReadAnew)
 {
 	start();
