A worker that is spoken of again stays warm, and says itself how long it is cold

Cause: each change of membership put all workers anew with the time of the change as the time when they were first seen. So on a fleet whose members change every few seconds every worker looked cold for 10 s each time: a tenth of its slots, load above the limit at which calls leave the zone. And announcements say how long a server is slow yet, which nothing read: a node that starts again beside a running server made it cold. Change: a worker that goes on serving keeps its time; announcement, record of a member and choice carry the time from which it is warm, as it said itself. Tests: Choice.AWorkerThatIsSpokenOfAgainStaysWarm, AWorkerIsColdAsLongAsItSays, Beat.OfAReadyServer.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -42,7 +42,7 @@
 	return c->ops->mono_us(c);
 }
 
-/** Returns wall time, microseconds since 1970; for logs and reports only. */
+/** Returns wall time, microseconds since 1970; machines differ a little. */
 static inline int64_t fp_wall_us(struct fp_clock *c)
 {
 	return c->ops->wall_us(c);
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -54,9 +54,9 @@
 				       const struct fp_directory_config *cfg,
 				       const struct fp_directory_ops *ops);
 
-/** The worker beside this node changed. */
+/** The worker beside this node changed; warm_ms as in struct fp_member. */
 void fp_directory_set_worker(struct fp_directory *d, uint32_t slots,
-			     bool serving);
+			     int64_t warm_ms, bool serving);
 
 /** This node stops: its record goes, so that others send it nothing. */
 void fp_directory_leave(struct fp_directory *d);
--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -31,11 +31,12 @@
 static char *encode_self(const struct fp_directory *d)
 {
 	const struct fp_member *m = &d->cfg.self;
-	json_t *j = json_pack(
-		"{s:I,s:s,s:s,s:s,s:s,s:s,s:I,s:b}", "id", (json_int_t)m->id,
-		"name", m->name, "peer", m->peer_addr, "domain",
-		m->failure_domain, "region", m->region, "service", m->service,
-		"slots", (json_int_t)m->slots, "serving", m->serving);
+	json_t *j = json_pack("{s:I,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:b}", "id",
+			      (json_int_t)m->id, "name", m->name, "peer",
+			      m->peer_addr, "domain", m->failure_domain,
+			      "region", m->region, "service", m->service,
+			      "slots", (json_int_t)m->slots, "warm_ms",
+			      (json_int_t)m->warm_ms, "serving", m->serving);
 	char *text = json_dumps(j, JSON_COMPACT);
 
 	json_decref(j);
@@ -149,13 +150,14 @@
 }
 
 void fp_directory_set_worker(struct fp_directory *d, uint32_t slots,
-			     bool serving)
+			     int64_t warm_ms, bool serving)
 {
 	struct fp_member *m = &d->cfg.self;
 
-	if (m->slots == slots && m->serving == serving)
+	if (m->slots == slots && m->warm_ms == warm_ms && m->serving == serving)
 		return;
 	m->slots = slots;
+	m->warm_ms = warm_ms;
 	m->serving = serving;
 	self_changed(d);
 }
@@ -191,6 +193,7 @@
 	if (ok) {
 		m->id = (uint64_t)json_integer_value(id);
 		m->slots = (uint32_t)json_integer_value(slots);
+		m->warm_ms = json_integer_value(json_object_get(j, "warm_ms"));
 		m->serving = json_is_true(json_object_get(j, "serving"));
 	}
 	json_decref(j);
--- a/src/coordination/member.h
+++ b/src/coordination/member.h
@@ -24,6 +24,8 @@
 	char region[FP_NAME_BYTES];
 	char service[FP_NAME_BYTES];
 	uint32_t slots; /**< of its worker; 0 when none is announced */
+	int64_t warm_ms; /**< its worker is slow until then, Unix ms; 0: not
+			      told */
 	bool serving; /**< its worker takes new work */
 	bool suspected; /**< may be dead */
 };
--- a/src/node/handover.c
+++ b/src/node/handover.c
@@ -65,8 +65,11 @@
 	struct fp_choice_worker w = { .id = m->id,
 				      .slots = m->slots,
 				      .serving = m->serving,
-				      .suspected = m->suspected,
-				      .since_us = now_us };
+				      .suspected = m->suspected };
+
+	if (m->warm_ms)
+		w.warm_us = now_us + m->warm_ms * FP_US_PER_MS -
+			    fp_wall_us(t->clock);
 
 	memcpy(w.service, m->service, sizeof(w.service));
 	memcpy(w.failure_domain, m->failure_domain, sizeof(w.failure_domain));
--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -133,6 +133,7 @@
 struct handed_worker {
 	struct fp_hosted *h;
 	uint32_t slots;
+	int64_t warm_ms;
 	bool serving;
 };
 
@@ -140,7 +141,8 @@
 {
 	struct handed_worker *w = ctx;
 
-	fp_directory_set_worker(w->h->directory, w->slots, w->serving);
+	fp_directory_set_worker(w->h->directory, w->slots, w->warm_ms,
+				w->serving);
 	free(w);
 }
 
@@ -150,7 +152,7 @@
 
 	if (!copy)
 		abort();
-	*copy = (struct handed_worker){ h, w->slots, w->serving };
+	*copy = (struct handed_worker){ h, w->slots, w->warm_ms, w->serving };
 	fp_loop_post(h->loop, take_worker, copy);
 }
 
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -35,6 +35,7 @@
 	uint32_t slots;
 	char instance[FP_NAME_BYTES]; /**< new at each of its starts */
 	int64_t born_ms; /**< its start, Unix milliseconds; 0: not said */
+	int64_t warm_ms; /**< it is slow until then, Unix ms; 0: not said */
 	uint64_t sequence; /**< of its last announcement, if it has one */
 	bool serving; /**< announced, not leaving, not silent */
 };
--- a/src/node/worker.c
+++ b/src/node/worker.c
@@ -20,6 +20,7 @@
 {
 	return a->port == b->port && a->slots == b->slots &&
 	       a->serving == b->serving && a->born_ms == b->born_ms &&
+	       a->warm_ms == b->warm_ms &&
 	       strcmp(a->instance, b->instance) == 0;
 }
 
@@ -33,9 +34,9 @@
 	execution_set_params(t);
 	fp_log(FP_LOG_INFO, "worker_state",
 	       "service=%s port=%u slots=%u serving=%d instance=%s "
-	       "born_ms=%" PRId64 " sequence=%" PRIu64,
+	       "born_ms=%" PRId64 " warm_ms=%" PRId64 " sequence=%" PRIu64,
 	       t->settings->service, w->port, w->slots, w->serving, w->instance,
-	       w->born_ms, w->sequence);
+	       w->born_ms, w->warm_ms, w->sequence);
 	t->hooks.worker(t->hooks.ctx, &t->worker);
 }
 
@@ -131,6 +132,11 @@
 	} else if (crashed(t, a)) {
 		report_crash(t, t->worker.instance);
 	}
+	/* Its first word counts, or each one would change the record. */
+	if (!is_other(&t->worker, a))
+		w.warm_ms = t->worker.warm_ms;
+	else if (!a->farewell && a->cold_us >= 0)
+		w.warm_ms = (fp_wall_us(t->clock) + a->cold_us) / FP_US_PER_MS;
 	t->worker_left = a->farewell || !a->serving;
 	t->worker_gone = a->farewell;
 	set_worker(t, &w);
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -33,6 +33,7 @@
 	bool farewell; /**< its last word; nothing else was said */
 	bool ordered; /**< born_ms and sequence are given */
 	int64_t born_ms; /**< its start, Unix milliseconds */
+	int64_t cold_us; /**< how long it is slow yet; -1: not said */
 	uint64_t sequence; /**< grows within one start */
 };
 
--- a/src/state/choice.c
+++ b/src/state/choice.c
@@ -41,7 +41,7 @@
 /* Tuning. */
 #define SUBSET	       32 /* workers of a service that are used */
 #define SUBSET_NEAR    24 /* most of them from the own domain, if others exist */
-#define RAMP_US	       10000000 /* time until a worker has its whole share */
+#define RAMP_US	       10000000 /* until a worker has its whole share, at most */
 #define RAMP_MIN       0.1 /* share of a worker that was just seen */
 #define NEAR_BUSY      0.7 /* load below which near workers are not left */
 #define NEAR_FACTOR    1.25 /* load of a far one times this ... */
@@ -216,6 +216,7 @@
 			     int64_t now_us)
 {
 	struct worker *w = find_worker(c, info->id);
+	int64_t warm_us;
 	bool changed;
 	uint32_t first;
 	uint32_t end;
@@ -236,7 +237,13 @@
 		c->n_workers++;
 		w->rank = rank_of(c, info->id);
 	}
+	warm_us = info->warm_us;
+	if (!warm_us && w->info.serving)
+		warm_us = w->info.warm_us;
+	if (!warm_us || warm_us > now_us + RAMP_US)
+		warm_us = now_us + RAMP_US;
 	w->info = *info;
+	w->info.warm_us = warm_us;
 	w->near = strcmp(info->failure_domain, c->failure_domain) == 0;
 	if (changed)
 		choose_subset(c, info->service);
@@ -260,13 +267,11 @@
 
 static double warmth(const struct worker *w, int64_t now_us)
 {
-	int64_t age_us = now_us - w->info.since_us;
+	int64_t left_us = w->info.warm_us - now_us;
 
-	if (age_us >= RAMP_US)
+	if (left_us <= 0)
 		return 1;
-	if (age_us < 0)
-		age_us = 0;
-	return RAMP_MIN + (1 - RAMP_MIN) * (double)age_us / RAMP_US;
+	return 1 - (1 - RAMP_MIN) * (double)left_us / RAMP_US;
 }
 
 static double load_of(const struct worker *w, int64_t now_us)
--- a/src/state/choice.h
+++ b/src/state/choice.h
@@ -23,7 +23,9 @@
 	uint32_t slots; /**< announced */
 	bool serving; /**< announced and not leaving */
 	bool suspected; /**< membership suspects its node */
-	int64_t since_us; /**< when it was first seen serving */
+	/** From here on it has its whole share; 0: not told, a while after it was
+	 *  first seen serving. */
+	int64_t warm_us;
 };
 
 /** @param failure_domain, region  where the choosing node stands
--- a/test/test_choice.cc
+++ b/test/test_choice.cc
@@ -34,7 +34,7 @@
 	{
 		fp_choice_end(c);
 	}
-	void put(uint64_t id, const char *domain, int64_t since_us = 0,
+	void put(uint64_t id, const char *domain, int64_t warm_us = 1,
 		 bool serving = true, bool suspected = false)
 	{
 		struct fp_choice_worker w = {};
@@ -46,7 +46,7 @@
 		w.slots = 20;
 		w.serving = serving;
 		w.suspected = suspected;
-		w.since_us = since_us;
+		w.warm_us = warm_us;
 		ASSERT_EQ(FP_OK, fp_choice_put(c, &w, now_us));
 	}
 	void end_calls()
@@ -118,7 +118,7 @@
 
 	f.put(1, "a");
 	f.put(2, "a");
-	f.put(3, "a", START_US);
+	f.put(3, "a", 0);
 	f.run_s(1);
 	EXPECT_GT(f.share(3), 0.01);
 	EXPECT_LT(f.share(3), 0.5 / 3);
@@ -127,6 +127,39 @@
 	EXPECT_NEAR(1.0 / 3, f.share(3), 0.05);
 }
 
+/* Each change of membership speaks of all workers again. */
+TEST(Choice, AWorkerThatIsSpokenOfAgainStaysWarm)
+{
+	fleet f;
+
+	f.put(1, "a");
+	f.put(2, "a");
+	f.put(3, "a", 0);
+	f.run_s(11);
+	f.put(3, "a", 0);
+	f.run_s(1);
+	EXPECT_NEAR(1.0 / 3, f.share(3), 0.05);
+	/* Taken away and back it is a new one. */
+	f.put(3, "a", 0, false);
+	f.put(3, "a", 0);
+	f.run_s(1);
+	EXPECT_LT(f.share(3), 0.5 / 3);
+}
+
+TEST(Choice, AWorkerIsColdAsLongAsItSays)
+{
+	fleet f;
+
+	f.put(1, "a");
+	f.put(2, "a");
+	f.put(3, "a", START_US + 5000000);
+	f.run_s(1);
+	EXPECT_LT(f.share(3), 0.75 / 3);
+	f.run_s(4);
+	f.run_s(1);
+	EXPECT_NEAR(1.0 / 3, f.share(3), 0.05);
+}
+
 TEST(Choice, LeavingAndSuspectedAreLeftOut)
 {
 	fleet f;
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -541,7 +541,7 @@
 	EXPECT_NE(0u, store.items["fulmar/nodes/n1"].lease);
 	EXPECT_NE(std::string::npos, store.items["fulmar/nodes/n1"].value.find(
 					     "\"serving\":false"));
-	fp_directory_set_worker(d, 8, true);
+	fp_directory_set_worker(d, 8, 0, true);
 	run_ms(10);
 	EXPECT_NE(std::string::npos, store.items["fulmar/nodes/n1"].value.find(
 					     "\"serving\":true"));
@@ -555,7 +555,7 @@
 {
 	start();
 	for (int i = 0; i < 5; i++) {
-		fp_directory_set_worker(d, 10 + i, i % 2 == 0);
+		fp_directory_set_worker(d, 10 + i, 0, i % 2 == 0);
 		fp_loop_round(loop, 0);
 	}
 	run_ms(50);
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -45,6 +45,10 @@
 	EXPECT_TRUE(a.ordered);
 	EXPECT_EQ(4u, a.sequence);
 	EXPECT_EQ(1788008443000, a.born_ms);
+	EXPECT_EQ(0, a.cold_us);
+	ASSERT_EQ(FP_OK, beat("PUT", "/instances/i-7",
+			      with("\"0ms\"", "\"2.5s\""), &a));
+	EXPECT_EQ(2500000, a.cold_us);
 }
 
 TEST(Beat, OfOneThatLeaves)
@@ -83,6 +87,8 @@
 		with("\"address\":\"10.1.0.2:80\",", ""),
 		with("1788008443000", "\"1788008443000\""),
 		with("1788008443000", "1.5"),
+		with("\"0ms\"", "7"),
+		with("\"0ms\"", "\"soon\""),
 	};
 	struct fp_announcement a;
 
