One node of a failure domain asks the store for the others' proof

Change: the first by name of a domain's members reads it and tells those who asked which revision stands and how long ago it asked. The proof counts from the asker's own question less that age, so it is never younger than the truth. Others read the record only if they hold another one. A delegate that is silent for 0.8 s, or cannot tell, is left for 5 s and the store asked instead. Ruled out: a watch (one whose history is dropped hears nothing), serializable reads (prove nothing).

--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -5,9 +5,11 @@
  * and a timer for its next step:
  *
  *	secret	read, or made by whoever writes it first
- *	config	read again and again. Each answer shows that the record was
- *		current when the question was sent. A watch would not: one
- *		whose history is being dropped hears nothing for a while.
+ *	config	read again and again, by one node of a failure domain for
+ *		the others (directory_relay.c). Each answer shows that the
+ *		record was current when the question was sent. A watch would
+ *		not: one whose history is being dropped hears nothing for a
+ *		while.
  *	own	a lease with this node's record under it, renewed
  *	others	all records listed, then watched while none is missing
  *
@@ -169,6 +171,7 @@
 		return;
 	if (r->status != FP_OK || !r->n_items) {
 		directory_failed(&d->config, r->status);
+		directory_answer_askers(d, FP_UNAVAILABLE);
 		return;
 	}
 	directory_succeeded(&d->config);
@@ -178,12 +181,18 @@
 	/* What cannot be read may take a key away. */
 	if (d->config_read)
 		d->ops.current(d->ops.ctx, d->config_asked_us);
+	directory_answer_askers(d, FP_OK);
 	directory_run_after(&d->config,
 			    next_us > now_us ? next_us - now_us : 0);
 }
 
 static void step_config(struct fp_directory *d)
 {
+	if (d->relayed)
+		directory_delegate_silent(d);
+	else if (directory_ask_delegate(d))
+		return;
+	d->read_now = false;
 	d->config_asked_us = fp_mono_us(d->cfg.clock);
 	d->cfg.registry->ops->get(d->cfg.registry, d->cfg.dialect->config_key,
 				  on_config, d);
@@ -237,9 +246,14 @@
 void fp_directory_end(struct fp_directory *d)
 {
 	struct directory_record *rec;
+	struct directory_asker *k;
 
 	if (!d)
 		return;
+	while ((k = d->askers)) {
+		d->askers = k->next;
+		free(k);
+	}
 	while ((rec = d->records)) {
 		d->records = rec->next;
 		free(rec);
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -16,6 +16,7 @@
 #include "coordination/member.h"
 #include "coordination/registry.h"
 #include "protocol/dialect.h"
+#include "protocol/msg_shared.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -39,6 +40,9 @@
 	 * clock that counts suspension.
 	 */
 	void (*current)(void *ctx, int64_t asked_us);
+	/** Sends a message to a member; it may be lost. */
+	void (*send)(void *ctx, const char *addr,
+		     const struct fp_msg_shared *m);
 	void *ctx;
 };
 
@@ -58,6 +62,10 @@
 void fp_directory_set_worker(struct fp_directory *d, uint32_t slots,
 			     int64_t warm_ms, bool serving);
 
+/** A message of a member at addr, FP_MSG_CURRENT_ASK or _ANSWER. */
+void fp_directory_message(struct fp_directory *d, const char *addr,
+			  const struct fp_msg_shared *m);
+
 /** This node stops: its record goes, so that others send it nothing. */
 void fp_directory_leave(struct fp_directory *d);
 
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -24,6 +24,13 @@
 	struct directory_record *next;
 };
 
+/* A member that waits for word of the record. */
+struct directory_asker {
+	char addr[FP_MEMBER_ADDR_BYTES];
+	uint64_t ask_id;
+	struct directory_asker *next;
+};
+
 struct fp_directory {
 	struct fp_loop *loop;
 	struct fp_directory_config cfg;
@@ -37,7 +44,13 @@
 	uint64_t revision; /* of the operators' record in force */
 	uint64_t config_item; /* revision of the item that was asked for last */
 	bool config_read; /* its text made sense */
-	int64_t config_asked_us;
+	int64_t config_asked_us; /* this node, the store or a delegate */
+	bool relayed; /* a delegate was asked and has not answered */
+	bool read_now; /* a delegate told of a newer one */
+	uint64_t ask_id; /* of the last question to a delegate */
+	int64_t direct_until_us; /* delegates are not asked */
+	uint64_t delegate; /* last one, for the log */
+	struct directory_asker *askers;
 	uint64_t lease; /* 0: none */
 	bool written; /* the record under the lease is the newest */
 	bool writing; /* a write of it is under way */
@@ -58,6 +71,15 @@
 /** It did not, or refused: the step is taken again after a pause. */
 void directory_failed(struct directory_machine *m, enum fp_status st);
 
+/* --- directory_relay.c --- */
+
+/** Asks the delegate for word of the record; false: the store is to be asked. */
+bool directory_ask_delegate(struct fp_directory *d);
+/** It did not answer in time. */
+void directory_delegate_silent(struct fp_directory *d);
+/** The store answered this node, or did not: those who asked hear of it. */
+void directory_answer_askers(struct fp_directory *d, enum fp_status st);
+
 /* --- directory_members.c --- */
 
 void directory_step_own(struct fp_directory *d);
--- a/src/node/handover.c
+++ b/src/node/handover.c
@@ -152,6 +152,51 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+enum fp_status traffic_send_on(struct fp_peer_link *link,
+			       const struct fp_msg_shared *m)
+{
+	msgpack_sbuffer buf;
+	enum fp_status st;
+
+	msgpack_sbuffer_init(&buf);
+	st = fp_msg_shared_encode(m, &buf);
+	if (st == FP_OK)
+		st = fp_peer_send(link, buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+	return st;
+}
+
+/* A message handed over. */
+struct handed_message {
+	char addr[FP_MEMBER_ADDR_BYTES];
+	struct fp_msg_shared m;
+};
+
+static void take_message(void *ctx)
+{
+	struct handed *h = ctx;
+	struct handed_message *k = h->value;
+	struct fp_peer_link *link = fp_peer_link_to(h->t->peers, k->addr);
+
+	/* Who asked and hears nothing asks elsewhere. */
+	if (link)
+		traffic_send_on(link, &k->m);
+	free(k);
+	free(h);
+}
+
+void fp_traffic_send(struct fp_traffic *t, const char *addr,
+		     const struct fp_msg_shared *m)
+{
+	struct handed_message *k = calloc(1, sizeof(*k));
+
+	if (!k)
+		abort();
+	strncpy(k->addr, addr, sizeof(k->addr) - 1);
+	k->m = *m;
+	post(t, take_message, k);
+}
+
 /* A crash handed over. */
 struct handed_crash {
 	uint64_t fingerprint;
--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -72,6 +72,13 @@
 	fp_traffic_set_current(h->traffic, asked_us);
 }
 
+static void on_send(void *ctx, const char *addr, const struct fp_msg_shared *m)
+{
+	struct fp_hosted *h = ctx;
+
+	fp_traffic_send(h->traffic, addr, m);
+}
+
 /* --- operators --- */
 
 static void reply_metrics(struct fp_hosted *h, struct fp_http_exchange *x)
@@ -156,6 +163,33 @@
 	fp_loop_post(h->loop, take_worker, copy);
 }
 
+struct handed_message {
+	struct fp_hosted *h;
+	char addr[FP_MEMBER_ADDR_BYTES];
+	struct fp_msg_shared m;
+};
+
+static void take_message(void *ctx)
+{
+	struct handed_message *k = ctx;
+
+	fp_directory_message(k->h->directory, k->addr, &k->m);
+	free(k);
+}
+
+void fp_hosted_message(struct fp_hosted *h, const char *addr,
+		       const struct fp_msg_shared *m)
+{
+	struct handed_message *k = calloc(1, sizeof(*k));
+
+	if (!k)
+		abort();
+	k->h = h;
+	strncpy(k->addr, addr, sizeof(k->addr) - 1);
+	k->m = *m;
+	fp_loop_post(h->loop, take_message, k);
+}
+
 static void on_leave(void *ctx)
 {
 	struct fp_hosted *h = ctx;
@@ -215,6 +249,7 @@
 					.members = on_members,
 					.secret = on_secret,
 					.current = on_current,
+					.send = on_send,
 					.ctx = h };
 	struct fp_directory_config cfg = { .clock = clock,
 					   .dialect = p->dialect };
--- a/src/node/hosted.h
+++ b/src/node/hosted.h
@@ -37,6 +37,10 @@
 /** The worker announced something; any thread. */
 void fp_hosted_worker(struct fp_hosted *h, const struct fp_worker *w);
 
+/** A message about the operators' record from the node at addr; any thread. */
+void fp_hosted_message(struct fp_hosted *h, const char *addr,
+		       const struct fp_msg_shared *m);
+
 /** Begins a planned stop; any thread. stopped is called on the control thread
  *  when the last call has ended. */
 void fp_hosted_stop(struct fp_hosted *h, void (*stopped)(void *ctx), void *ctx);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -72,6 +72,15 @@
 		fp_control_crash(n->control, fingerprint, crash_id);
 }
 
+static void on_record(void *ctx, const char *addr,
+		      const struct fp_msg_shared *m)
+{
+	struct node *n = ctx;
+
+	if (n->hosted)
+		fp_hosted_message(n->hosted, addr, m);
+}
+
 /*
  * Milliseconds since 1970, then random bits: of two processes at one address
  * the higher id is the later. 63 bits, since JSON integers are signed.
@@ -92,6 +101,7 @@
 					  .drained = on_drained,
 					  .to_slice = on_to_slice,
 					  .crash = on_crash,
+					  .record = on_record,
 					  .ctx = n };
 	enum fp_status st;
 	uint64_t id;
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -220,40 +220,23 @@
 				 fresh_now_us(t));
 }
 
-static enum fp_status send_on(struct fp_peer_link *link,
-			      const struct fp_msg_shared *m)
-{
-	msgpack_sbuffer buf;
-	enum fp_status st;
-
-	msgpack_sbuffer_init(&buf);
-	st = fp_msg_shared_encode(m, &buf);
-	if (st == FP_OK)
-		st = fp_peer_send(link, buf.data, buf.size);
-	msgpack_sbuffer_destroy(&buf);
-	return st;
-}
-
 enum fp_status owner_message(struct fp_traffic *t, struct fp_peer_link *link,
-			     const uint8_t *data, size_t bytes)
+			     const struct fp_msg_shared *m)
 {
 	struct fp_msg_shared a = { .type = FP_MSG_GRANT_ANSWER };
-	struct fp_msg_shared m;
 
-	if (fp_msg_shared_decode(data, bytes, &m) != FP_OK)
-		return FP_INVALID;
-	switch (m.type) {
+	switch (m->type) {
 	case FP_MSG_GRANT_ASK:
-		a.id = m.id;
-		answer_ask(t, &m.grant_ask, &a.grant_answer);
+		a.id = m->id;
+		answer_ask(t, &m->grant_ask, &a.grant_answer);
 		/* An answer that is lost is asked for again. */
-		send_on(link, &a);
+		traffic_send_on(link, &a);
 		return FP_OK;
 	case FP_MSG_GRANT_RETURN:
-		take_return(t, &m.grant_return);
+		take_return(t, &m->grant_return);
 		return FP_OK;
 	case FP_MSG_GRANT_ANSWER:
-		tokens_answer(t, m.id, &m.grant_answer);
+		tokens_answer(t, m->id, &m->grant_answer);
 		return FP_OK;
 	default:
 		return FP_INVALID;
@@ -293,7 +276,7 @@
 	if (id != t->node_id) {
 		link = fp_peer_link_to(t->peers, owner->peer_addr);
 		if (link)
-			send_on(link, m);
+			traffic_send_on(link, m);
 		return;
 	}
 	k = malloc(sizeof(*k));
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -17,9 +17,9 @@
 void owner_send(struct fp_traffic *t, const char *org,
 		const struct fp_msg_shared *m);
 
-/** Takes a message of msg_shared.h; FP_INVALID when it is none. */
+/** Takes a message about grants; FP_INVALID when it is none. */
 enum fp_status owner_message(struct fp_traffic *t, struct fp_peer_link *link,
-			     const uint8_t *data, size_t bytes);
+			     const struct fp_msg_shared *m);
 
 /** The link to a node came up, or went down after it had been up. */
 void owner_link(struct fp_traffic *t, const char *addr, bool up);
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -107,6 +107,20 @@
 	fp_counter_add(t->n.http_refused, 1);
 }
 
+static enum fp_status take_shared(struct fp_traffic *t,
+				  struct fp_peer_link *link,
+				  const uint8_t *data, size_t bytes)
+{
+	struct fp_msg_shared m;
+
+	if (fp_msg_shared_decode(data, bytes, &m) != FP_OK)
+		return FP_INVALID;
+	if (m.type != FP_MSG_CURRENT_ASK && m.type != FP_MSG_CURRENT_ANSWER)
+		return owner_message(t, link, &m);
+	t->hooks.record(t->hooks.ctx, fp_peer_identity(link)->addr, &m);
+	return FP_OK;
+}
+
 static void on_frame(void *ctx, struct fp_peer_link *link, const uint8_t *data,
 		     size_t bytes)
 {
@@ -137,7 +151,7 @@
 		execution_cancel(t, link, corr);
 		return;
 	default:
-		if (t->hosted && owner_message(t, link, data, bytes) == FP_OK)
+		if (t->hosted && take_shared(t, link, data, bytes) == FP_OK)
 			return;
 		fp_fail(FP_INVALID, "message of unknown type");
 	}
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -16,6 +16,7 @@
 #include "base/status.h"
 #include "coordination/member.h"
 #include "protocol/dialect.h"
+#include "protocol/msg_shared.h"
 #include "protocol/settings.h"
 #include "state/config.h"
 
@@ -55,6 +56,9 @@
 			 size_t bytes);
 	/** A request was in flight when this node's worker crashed. */
 	void (*crash)(void *ctx, uint64_t fingerprint, uint64_t crash_id);
+	/** A message about the operators' record from the node at addr. */
+	void (*record)(void *ctx, const char *addr,
+		       const struct fp_msg_shared *m);
 	void *ctx;
 };
 
@@ -78,6 +82,9 @@
 /** A crash seen anywhere in the fleet; any thread. */
 void fp_traffic_crash(struct fp_traffic *t, uint64_t fingerprint,
 		      uint64_t crash_id);
+/** Sends a message to the node at addr; copied; any thread. */
+void fp_traffic_send(struct fp_traffic *t, const char *addr,
+		     const struct fp_msg_shared *m);
 /** Whether this node is cut off and must not trust its keys; any thread. */
 void fp_traffic_set_isolated(struct fp_traffic *t, bool isolated);
 /**
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -120,6 +120,10 @@
 /** Returns a uniform random number. */
 uint64_t traffic_draw(void);
 
+/** Sends a message on a link; as fp_peer_send. */
+enum fp_status traffic_send_on(struct fp_peer_link *link,
+			       const struct fp_msg_shared *m);
+
 /** Finds a member by node id; NULL when there is none. */
 const struct fp_member *traffic_member(const struct fp_traffic *t, uint64_t id);
 
--- a/src/protocol/msg_shared.c
+++ b/src/protocol/msg_shared.c
@@ -1,5 +1,5 @@
 /*
- * msg_shared.c - messages about tokens and claims between nodes
+ * msg_shared.c - messages about tokens, claims and the record between nodes
  *
  * A message is one flat msgpack array: type, id, then the fields in the order
  * of their struct. Each type has a walk over its fields, which a coder calls
@@ -337,6 +337,20 @@
 	code_bucket_span(c, &s->earns_in_us);
 }
 
+/* An ask is its id alone. */
+static void code_current_ask(struct coder *c, struct fp_msg_shared *m)
+{
+	(void)c;
+	(void)m;
+}
+
+static void code_current_answer(struct coder *c, struct fp_msg_shared *m)
+{
+	code_status(c, &m->current_answer.status);
+	code_u64(c, &m->current_answer.item_revision, UINT64_MAX);
+	code_span(c, &m->current_answer.age_us);
+}
+
 /* Number of fields and the walk over them, by type. */
 static const struct layout {
 	uint32_t fields;
@@ -354,6 +368,8 @@
 	[FP_MSG_CLAIM_REPLICATED -
 		FP_MSG_GRANT_ASK] = { 4, code_claim_replicated },
 	[FP_MSG_BUCKET_STATE - FP_MSG_GRANT_ASK] = { 6, code_bucket_handover },
+	[FP_MSG_CURRENT_ASK - FP_MSG_GRANT_ASK] = { 0, code_current_ask },
+	[FP_MSG_CURRENT_ANSWER - FP_MSG_GRANT_ASK] = { 3, code_current_answer },
 };
 
 static const struct layout *layout_of(uint64_t type)
--- a/src/protocol/msg_shared.h
+++ b/src/protocol/msg_shared.h
@@ -1,4 +1,4 @@
-/* msg_shared.h - messages about tokens and claims between nodes */
+/* msg_shared.h - messages about tokens, claims and the record between nodes */
 #ifndef FP_PROTOCOL_MSG_SHARED_H
 #define FP_PROTOCOL_MSG_SHARED_H
 
@@ -28,6 +28,8 @@
 	FP_MSG_CLAIM_REPLICATE, /**< primary to backup */
 	FP_MSG_CLAIM_REPLICATED, /**< its answer, same id */
 	FP_MSG_BUCKET_STATE, /**< primary that has ceased to its successor */
+	FP_MSG_CURRENT_ASK, /**< to the node that asks the store for others */
+	FP_MSG_CURRENT_ANSWER, /**< its answer, same id */
 	FP_MSG_SHARED_END
 };
 
@@ -115,6 +117,13 @@
 	struct fp_bucket_state state;
 };
 
+/** Says which record of the operators the store held, and how long ago. */
+struct fp_current_answer {
+	enum fp_status status; /**< FP_OK, FP_UNAVAILABLE: ask yourself */
+	uint64_t item_revision; /**< the store's, of the record's item */
+	int64_t age_us; /**< since the store was asked */
+};
+
 /** One message, by type. */
 struct fp_msg_shared {
 	enum fp_msg_shared_type type;
@@ -130,6 +139,7 @@
 		struct fp_claim_replicate claim_replicate;
 		struct fp_claim_replicated claim_replicated;
 		struct fp_bucket_handover bucket_handover;
+		struct fp_current_answer current_answer;
 	};
 };
 
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -387,6 +387,42 @@
 	}));
 }
 
+/*
+ * n4 follows n2, the first of its domain, and reads the record only when it has
+ * changed. A delegate that is killed is done without.
+ */
+TEST_F(Hosted, AFollowerHoldsTheSamePromisesAsItsDelegate)
+{
+	write_config(1, "\"k1\",\"k2\"");
+	for (const char *service : { "front", "deep", "front", "deep" })
+		add(service);
+	begin_beats();
+	for (auto &m : machines)
+		ASSERT_TRUE(wait([&] { return ready(*m) == 200; }));
+	Machine &follower = *machines[2];
+	ASSERT_TRUE(wait([&] {
+		return says(follower, "event=delegate member=n2 self=0");
+	}));
+	auto status = [&](const char *key) {
+		return call(follower, "/front/x", key).status;
+	};
+	EXPECT_EQ(200, status("k2"));
+	write_config(2);
+	EXPECT_TRUE(wait([&] { return status("k2") == 401; }, 2000));
+	EXPECT_EQ(200, status("k1"));
+	fleet_process_kill(machines[0]->node);
+	for (int i = 0; i < 60; i++) {
+		ASSERT_EQ(200, status("k1")) << i;
+		usleep(100000);
+	}
+	write_config(3, "\"k2\"");
+	EXPECT_TRUE(wait([&] { return status("k1") == 401; }, 2000));
+	platform_store_set(store, PLATFORM_SILENT);
+	EXPECT_TRUE(wait([&] { return status("k2") == 503; }, 5000));
+	platform_store_set(store, PLATFORM_WELL);
+	EXPECT_TRUE(wait([&] { return status("k2") == 200; }));
+}
+
 TEST_F(Hosted, ALostAnswerOfAnOrderIsUnknownAndRunsOnce)
 {
 	serve(true);
--- a/test/test_msg_shared.cc
+++ b/test/test_msg_shared.cc
@@ -68,6 +68,11 @@
 		m.bucket_handover.epoch = BIG;
 		m.bucket_handover.state = { 1234567, 8, 1199999, 7 };
 		break;
+	case FP_MSG_CURRENT_ASK:
+		break;
+	case FP_MSG_CURRENT_ANSWER:
+		m.current_answer = { FP_UNAVAILABLE, BIG, 4999999 };
+		break;
 	default:
 		m.claim_replicated = { 9, 2, BIG, true };
 	}
