Nodes that lost a bucket's owner lay their parts of the rate together

Cause: each asker went on with its own part alone; what a busy node lacked an idle one did not use. And a dial to the lost owner that failed took it off the list of lost members, so it was asked again each second, and an owner counted a lost member's part as free. Change: an owner that does not answer is passed over, one whose link is lost too, and the next in rank is asked. Who is asked without being the owner grants the parts of those that asked it in the last 2 s, no more. A new owner does so until it may grant the whole rate. A dial that fails changes nothing.

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -6,11 +6,13 @@
  * Nothing is agreed on: two nodes that see different members for a moment may
  * both think that they are the owner. What that can add is bounded, because
  *
- *	- a bucket starts empty and earns only once the grants of the owner
- *	  before have ended;
- *	- who is not the owner in its own view grants nothing;
- *	- a node that no owner answers has an equal part of the rate only, and
- *	  an owner that lost the link to a member leaves its part out.
+ *	- a bucket starts empty and has the whole rate only once the grants of
+ *	  the owner before have ended;
+ *	- a node that the owner does not answer has an equal part of the rate
+ *	  only, and an owner that lost the link to a member leaves its part out;
+ *	- such nodes ask the next in rank that they reach, who is not the owner
+ *	  in its own view, or not yet, and grants no more than the parts of those
+ *	  that asked it lately (state/pool.h).
  */
 #include "node/owner.h"
 
@@ -21,6 +23,7 @@
 
 #include "base/log.h"
 #include "state/bucket.h"
+#include "state/pool.h"
 
 /* How often the link to a lost member is tried again. */
 #define REDIAL_US (500 * FP_US_PER_MS)
@@ -31,7 +34,10 @@
 struct org_bucket {
 	char org[FP_NAME_BYTES];
 	struct fp_bucket *bucket;
-	int64_t earns_us; /* before this it grants nothing */
+	struct fp_pool *pool; /* of those that asked */
+	uint32_t rate_per_s; /* of the bucket now */
+	bool ours; /* this node ranks highest */
+	int64_t whole_us; /* from here on, if ours, it has the whole rate */
 	int64_t warm_us; /* from here on an empty bucket was emptied */
 	struct org_bucket *next;
 };
@@ -61,7 +67,18 @@
 		abort();
 }
 
-uint64_t owner_of(const struct fp_traffic *t, const char *org)
+static bool is_lost(const struct owner *o, const char *addr)
+{
+	const struct lost_member *l = o->lost;
+
+	while (l && strcmp(l->addr, addr) != 0)
+		l = l->next;
+	return l != NULL;
+}
+
+/* The highest in rank, or of those that can be asked. */
+static uint64_t highest(const struct fp_traffic *t, const char *org,
+			bool reached, uint64_t shunned)
 {
 	uint64_t seed = XXH3_64bits(org, strlen(org));
 	uint64_t best = 0;
@@ -75,12 +92,26 @@
 
 		if (id && rank <= best)
 			continue;
+		if (reached && m->id != t->node_id &&
+		    (m->id == shunned || is_lost(t->owner, m->peer_addr)))
+			continue;
 		best = rank;
 		id = m->id;
 	}
 	return id;
 }
 
+uint64_t owner_of(const struct fp_traffic *t, const char *org)
+{
+	return highest(t, org, false, 0);
+}
+
+uint64_t owner_to_ask(const struct fp_traffic *t, const char *org,
+		      uint64_t shunned)
+{
+	return highest(t, org, true, shunned);
+}
+
 static struct org_bucket *find(const struct owner *o, const char *org)
 {
 	struct org_bucket *b = o->buckets;
@@ -100,21 +131,48 @@
 	return rate || !rate_per_s ? rate : 1;
 }
 
-static void add(struct fp_traffic *t, const struct fp_org *org, int64_t now_us)
+/* Gives a bucket the rate that it has now: whole, or the parts in its pool. */
+static void set_rate(struct fp_traffic *t, struct org_bucket *b,
+		     const struct fp_org *org, int64_t now_us)
+{
+	uint32_t n = t->members ? t->members->n : 1;
+	uint32_t parts = fp_pool_parts(b->pool, now_us);
+	uint32_t burst = org->burst;
+
+	b->rate_per_s = rate_here(t, org->rate_per_s);
+	if (!b->ours || now_us < b->whole_us) {
+		parts = parts < n ? parts : n;
+		b->rate_per_s =
+			(uint32_t)((uint64_t)org->rate_per_s * parts / n);
+		burst = (uint32_t)((uint64_t)burst * parts / n);
+		burst = burst ? burst : 1;
+	}
+	fp_bucket_set_rate(b->bucket, b->rate_per_s, burst, now_us);
+}
+
+static struct org_bucket *add(struct fp_traffic *t, const struct fp_org *org,
+			      int64_t now_us)
 {
 	struct org_bucket *b = calloc(1, sizeof(*b));
 
 	if (!b)
 		abort();
-	b->earns_us = now_us + FP_GRANT_OWNER_US;
-	b->bucket = fp_bucket_init(rate_here(t, org->rate_per_s), org->burst,
-				   t->node_id, b->earns_us);
-	if (!b->bucket)
+	b->bucket = fp_bucket_init(0, 0, t->node_id, now_us);
+	b->pool = fp_pool_init();
+	if (!b->bucket || !b->pool)
 		abort();
 	memcpy(b->org, org->name, sizeof(b->org));
-	b->warm_us = now_us + WARM_US;
 	b->next = t->owner->buckets;
 	t->owner->buckets = b;
+	return b;
+}
+
+static void own(struct fp_traffic *t, struct org_bucket *b,
+		const struct fp_org *org, int64_t now_us)
+{
+	b->ours = true;
+	b->whole_us = now_us + FP_GRANT_OWNER_US;
+	b->warm_us = now_us + WARM_US;
 	fp_log(FP_LOG_INFO, "bucket_owned",
 	       "org=%s rate=%u burst=%u members=%u", org->name, org->rate_per_s,
 	       org->burst, t->members->n);
@@ -128,7 +186,15 @@
 	       owner_of(t, org) == t->node_id;
 }
 
-static void drop_others(struct fp_traffic *t)
+static void bucket_end(struct org_bucket *b)
+{
+	fp_bucket_end(b->bucket);
+	fp_pool_end(b->pool);
+	free(b);
+}
+
+/* Drops buckets of others that nobody asks for. */
+static void drop_others(struct fp_traffic *t, int64_t now_us)
 {
 	struct org_bucket **at = &t->owner->buckets;
 	struct org_bucket *b;
@@ -138,10 +204,15 @@
 			at = &b->next;
 			continue;
 		}
-		fp_log(FP_LOG_INFO, "bucket_left", "org=%s", b->org);
+		if (b->ours)
+			fp_log(FP_LOG_INFO, "bucket_left", "org=%s", b->org);
+		b->ours = false;
+		if (fp_pool_parts(b->pool, now_us) > 0) {
+			at = &b->next;
+			continue;
+		}
 		*at = b->next;
-		fp_bucket_end(b->bucket);
-		free(b);
+		bucket_end(b);
 	}
 }
 
@@ -176,38 +247,45 @@
 	if (!t->config || !t->members)
 		return;
 	drop_lost(t);
-	drop_others(t);
+	drop_others(t, now_us);
 	for (i = 0; i < t->config->n_orgs; i++) {
 		const struct fp_org *org = &t->config->orgs[i];
 
 		if (!is_ours(t, org->name))
 			continue;
 		b = find(t->owner, org->name);
-		if (b)
-			fp_bucket_set_rate(b->bucket,
-					   rate_here(t, org->rate_per_s),
-					   org->burst, now_us);
-		else
-			add(t, org, now_us);
+		if (!b)
+			b = add(t, org, now_us);
+		if (!b->ours)
+			own(t, b, org, now_us);
+		set_rate(t, b, org, now_us);
 	}
 }
 
 /* --- messages --- */
 
-static void answer_ask(struct fp_traffic *t, const struct fp_grant_ask *ask,
+static void answer_ask(struct fp_traffic *t, uint64_t from,
+		       const struct fp_grant_ask *ask,
 		       struct fp_grant_answer *a)
 {
+	int i = t->config ? fp_config_find_org(t->config, ask->org) : -1;
 	struct org_bucket *b = find(t->owner, ask->org);
 	int64_t now_us = fresh_now_us(t);
 
 	memset(a, 0, sizeof(*a));
 	a->status = FP_UNAVAILABLE;
-	/* Until it earns its askers live on their equal parts, not longer. */
-	if (!b || now_us < b->earns_us)
+	if (i < 0 || !t->config->orgs[i].rate_per_s)
 		return;
+	if (!b)
+		b = add(t, &t->config->orgs[i], now_us);
+	fp_pool_join(b->pool, from, now_us);
+	set_rate(t, b, &t->config->orgs[i], now_us);
+	if (!b->rate_per_s)
+		return; /* parts below one a second are spent where they are */
 	a->status = fp_bucket_grant(b->bucket, ask->want, now_us, &a->grant_id,
 				    &a->tokens, &a->wait_us);
-	if (a->status == FP_EXHAUSTED && now_us < b->warm_us)
+	/* Only of a whole bucket it can be said that its rate is used up. */
+	if (a->status == FP_EXHAUSTED && (!b->ours || now_us < b->warm_us))
 		a->status = FP_AGAIN;
 }
 
@@ -228,7 +306,8 @@
 	switch (m->type) {
 	case FP_MSG_GRANT_ASK:
 		a.id = m->id;
-		answer_ask(t, &m->grant_ask, &a.grant_answer);
+		answer_ask(t, fp_peer_identity(link)->id, &m->grant_ask,
+			   &a.grant_answer);
 		/* An answer that is lost is asked for again. */
 		traffic_send_on(link, &a);
 		return FP_OK;
@@ -255,7 +334,7 @@
 	struct fp_grant_answer a;
 
 	if (k->m.type == FP_MSG_GRANT_ASK) {
-		answer_ask(k->t, &k->m.grant_ask, &a);
+		answer_ask(k->t, k->t->node_id, &k->m.grant_ask, &a);
 		tokens_answer(k->t, k->m.id, &a);
 	} else {
 		take_return(k->t, &k->m.grant_return);
@@ -263,10 +342,9 @@
 	free(k);
 }
 
-void owner_send(struct fp_traffic *t, const char *org,
+void owner_send(struct fp_traffic *t, uint64_t id,
 		const struct fp_msg_shared *m)
 {
-	uint64_t id = owner_of(t, org);
 	const struct fp_member *owner = traffic_member(t, id);
 	struct fp_peer_link *link;
 	struct own_ask *k;
@@ -342,8 +420,7 @@
 		return;
 	while ((b = t->owner->buckets)) {
 		t->owner->buckets = b->next;
-		fp_bucket_end(b->bucket);
-		free(b);
+		bucket_end(b);
 	}
 	while ((l = t->owner->lost)) {
 		t->owner->lost = l->next;
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -13,8 +13,13 @@
 /** Returns the id of the node that owns an organisation's bucket; 0: none. */
 uint64_t owner_of(const struct fp_traffic *t, const char *org);
 
-/** Sends an ask or a return to the owner of an organisation's bucket. */
-void owner_send(struct fp_traffic *t, const char *org,
+/** Returns the highest in rank that can be asked: not shunned, its link not
+ *  lost. */
+uint64_t owner_to_ask(const struct fp_traffic *t, const char *org,
+		      uint64_t shunned);
+
+/** Sends an ask or a return to a node, which may be this one. */
+void owner_send(struct fp_traffic *t, uint64_t id,
 		const struct fp_msg_shared *m);
 
 /** Takes a message about grants; FP_INVALID when it is none. */
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -9,7 +9,8 @@
  *
  * Where the store holds the members, the owner follows from them (owner.c), and
  * a node that it does not answer goes on with an equal part of the rate, which
- * the owner leaves out of the bucket for those that it has lost.
+ * the owner leaves out of the bucket for those that it has lost. It then asks
+ * the next in rank, where such nodes lay their parts together.
  */
 #include <inttypes.h>
 #include <stdlib.h>
@@ -27,6 +28,9 @@
 #define NO_OWNER_WAIT_US FP_US_PER_S
 #define ASK_AGAIN_US	 (20 * FP_US_PER_MS)
 #define MAX_WAITING	 1024u
+/* How long an owner that did not answer is passed over; its link tells by then
+ * whether it is lost. */
+#define SHUN_US FP_US_PER_S
 /* After so long with an owner the equal part begins with a token. */
 #define SHARE_REST_US (2 * FP_US_PER_S)
 
@@ -45,6 +49,9 @@
 	bool limited; /* it has a rate */
 	uint64_t ask_id; /* of the open ask, 0: none */
 	int64_t asked_us;
+	uint64_t asked_id; /* who was asked, hosted only */
+	uint64_t shunned; /* who did not answer */
+	int64_t shunned_until_us;
 	bool exhausted; /* the owner's last word was an empty bucket */
 	bool filling; /* it was one that has not had the time to fill */
 };
@@ -133,7 +140,7 @@
 	msgpack_sbuffer buf;
 
 	if (o->t->hosted) {
-		owner_send(o->t, o->org, m);
+		owner_send(o->t, o->asked_id, m);
 		return;
 	}
 	msgpack_sbuffer_init(&buf);
@@ -152,6 +159,10 @@
 		return;
 	fp_grants_asked(o->grants, now_us);
 	o->asked_us = now_us;
+	if (o->t->hosted)
+		o->asked_id = owner_to_ask(
+			o->t, o->org,
+			now_us < o->shunned_until_us ? o->shunned : 0);
 	o->ask_id = ++o->t->next_corr;
 	apr_hash_set(o->t->asks, &o->ask_id, sizeof(o->ask_id), o);
 	m.id = o->ask_id;
@@ -185,8 +196,8 @@
 	o->alone = true;
 	fp_share_restart(&o->share, now_us - o->joined_us > SHARE_REST_US,
 			 now_us);
-	fp_log(FP_LOG_WARN, "rate_alone", "org=%s owner=%016" PRIx64, o->org,
-	       owner_of(o->t, o->org));
+	fp_log(FP_LOG_WARN, "rate_alone", "org=%s asked=%016" PRIx64, o->org,
+	       o->asked_id);
 }
 
 static void join(struct org_tokens *o, int64_t now_us)
@@ -298,6 +309,8 @@
 			close_ask(o);
 			o->exhausted = false;
 			o->filling = false;
+			o->shunned = o->asked_id;
+			o->shunned_until_us = now_us + SHUN_US;
 			go_alone(o, now_us);
 			fp_grants_lost(o->grants, now_us);
 		}
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -165,8 +165,9 @@
 
 	call_link_down(t, link, was_up);
 	execution_link_down(t, link);
-	if (t->hosted)
-		owner_link(t, fp_peer_identity(link)->addr, !was_up);
+	/* A dial that fails says nothing new. */
+	if (t->hosted && was_up)
+		owner_link(t, fp_peer_identity(link)->addr, false);
 }
 
 static void on_link_up(void *ctx, struct fp_peer_link *link)
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -279,6 +279,18 @@
 		return n;
 	}
 
+	/* The machine whose node owns the bucket, or their number. */
+	size_t bucket_owner()
+	{
+		size_t i = 0;
+
+		while (i < machines.size() &&
+		       count(*machines[i], "event=bucket_owned") ==
+			       count(*machines[i], "event=bucket_left"))
+			i++;
+		return i;
+	}
+
 	static bool says(Machine &m, const char *what)
 	{
 		return count(m, what) > 0;
@@ -592,11 +604,7 @@
 	for (auto &m : machines)
 		ASSERT_TRUE(wait([&] { return ready(*m) == 200; }));
 	usleep(1500000); /* all know all */
-	size_t owner = 0;
-	while (owner < machines.size() &&
-	       count(*machines[owner], "event=bucket_owned") ==
-		       count(*machines[owner], "event=bucket_left"))
-		owner++;
+	size_t owner = bucket_owner();
 	ASSERT_LT(owner, machines.size());
 	for (size_t i = 0; i < machines.size(); i++) {
 		if (i == owner)
@@ -629,4 +637,51 @@
 	EXPECT_GE(at[84] - at[70], 0.8 * 1.4 * 100);
 }
 
+/*
+ * The owner is killed and its record stands yet. One of the three others has
+ * nearly all the demand: it is served from the parts of all three.
+ */
+TEST_F(Hosted, PartsAreLaidTogetherWhileAnOwnerIsLost)
+{
+	std::atomic<bool> stop{ false };
+	std::atomic<int> ok{ 0 };
+	std::vector<std::thread> callers;
+
+	write_config(1);
+	for (const char *service : { "front", "front", "front", "deep" })
+		add(service);
+	begin_beats();
+	for (auto &m : machines)
+		ASSERT_TRUE(wait([&] { return ready(*m) == 200; }));
+	usleep(1500000); /* all know all */
+	size_t owner = bucket_owner();
+	ASSERT_LT(owner, machines.size());
+	size_t busy = (owner + 1) % machines.size();
+	auto run = [&](size_t i, int pause_ms) {
+		callers.emplace_back([&, i, pause_ms] {
+			while (!stop) {
+				ok += call(*machines[i], "/deep/x").status ==
+				      200;
+				usleep((useconds_t)pause_ms * 1000);
+			}
+		});
+	};
+	for (size_t i = 0; i < machines.size(); i++)
+		if (i != owner && i != busy)
+			run(i, 300);
+	for (int k = 0; k < 8; k++)
+		run(busy, 2);
+	usleep(2500000); /* the burst is spent */
+	fleet_process_kill(machines[owner]->node);
+	usleep(600000);
+	int before = ok;
+	usleep(3000000);
+	int served = ok - before;
+	stop = true;
+	for (auto &t : callers)
+		t.join();
+	EXPECT_GE(served, 0.8 * 3 * 75);
+	EXPECT_LE(served, 1.1 * 3 * 75 + 20);
+}
+
 } // namespace
