An id from outside is one word in a log line

Cause: a caller's request id went into lines as it came; blanks and '=' in it looked like further fields, so a caller could write outcome=... into a line. Change: blanks, quotes, '=' and what cannot be printed become '_'. explain looks for the id in that form. Test: Log.AWordOfACallerIsNoOtherField.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -192,3 +192,17 @@
 		put_counted(level, event, text);
 	pthread_mutex_unlock(&log_lock);
 }
+
+const char *fp_log_word(const char *text, char room[FP_LOG_WORD_BYTES])
+{
+	size_t i;
+
+	for (i = 0; i < FP_LOG_WORD_BYTES - 1 && text[i]; i++) {
+		room[i] = text[i];
+		if (room[i] <= ' ' || room[i] > '~' || room[i] == '"' ||
+		    room[i] == '=')
+			room[i] = '_';
+	}
+	room[i] = '\0';
+	return room;
+}
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -37,6 +37,18 @@
 void fp_log(enum fp_log_level level, const char *event, const char *fields, ...)
 	__attribute__((format(printf, 3, 4)));
 
+/** Room for one word of foreign text in a line, with its end. */
+#define FP_LOG_WORD_BYTES 121
+
+/**
+ * Copies text that came from outside as one word that cannot be taken for other
+ * fields: blanks, quotes, '=' and what cannot be printed become '_', and what
+ * does not fit is left out.
+ *
+ * @return room
+ */
+const char *fp_log_word(const char *text, char room[FP_LOG_WORD_BYTES]);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/cmd/cmd_explain.c
+++ b/src/cmd/cmd_explain.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/log.h"
 #include "cmd/cmd.h"
 
 #define TIME_CHARS 27 /* 2026-01-27T02:25:39.555803Z */
@@ -114,13 +115,16 @@
 
 enum cmd_exit cmd_explain(const struct cmd_options *o)
 {
+	char word[FP_LOG_WORD_BYTES];
+	/* Lines hold ids in this form. */
+	const char *id = fp_log_word(o->args[0], word);
 	struct story s = { 0 };
 	enum cmd_exit rc = CMD_DONE;
 	size_t i;
 	int f;
 
 	for (f = 1; f < o->n_args && rc == CMD_DONE; f++)
-		if (!read_log(&s, o->args[f], o->args[0]))
+		if (!read_log(&s, o->args[f], id))
 			rc = cmd_fail(o, CMD_USAGE, "%s: cannot be read",
 				      o->args[f]);
 	if (rc == CMD_DONE && !s.n)
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -90,15 +90,16 @@
 {
 	int64_t now_us = fp_loop_now_us(c->t->loop);
 	char room[FP_REQUEST_NAME_BYTES];
+	char word[FP_LOG_WORD_BYTES];
 
 	fp_log(FP_LOG_INFO, why == FP_REASON_NONE ? "answered" : "refused",
-	       "id=%.120s route=%s service=%s org=%s class=%s nested=%d "
+	       "id=%s route=%s service=%s org=%s class=%s nested=%d "
 	       "outcome=%s reason=%s blame=%s status=%d total_ms=%" PRId64
 	       " left_ms=%" PRId64 " sent=%u reached=%u worker=%016" PRIx64
 	       " gone=%d config=%" PRIu64,
-	       call_name(c, room), c->msg.route, c->msg.service, c->msg.org,
-	       fp_class_name(c->msg.cls), c->msg.nested,
-	       fp_outcome_name(outcome), fp_reason_name(why),
+	       fp_log_word(call_name(c, room), word), c->msg.route,
+	       c->msg.service, c->msg.org, fp_class_name(c->msg.cls),
+	       c->msg.nested, fp_outcome_name(outcome), fp_reason_name(why),
 	       c->blame ? c->blame : "-", http_status,
 	       (now_us - c->started_us) / FP_US_PER_MS,
 	       (c->deadline_us - now_us) / FP_US_PER_MS, c->n_tried,
@@ -298,6 +299,7 @@
 			 enum fp_reason why, bool reached)
 {
 	char room[FP_REQUEST_NAME_BYTES];
+	char word[FP_LOG_WORD_BYTES];
 
 	forget_attempt(c);
 	if (reached || outcome != FP_OUTCOME_NOT_RUN)
@@ -313,10 +315,11 @@
 	}
 	fp_counter_add(c->t->n.retries, 1);
 	fp_log(FP_LOG_INFO, "sent_again",
-	       "id=%.120s service=%s outcome=%s reason=%s sent=%u reached=%u "
+	       "id=%s service=%s outcome=%s reason=%s sent=%u reached=%u "
 	       "left_ms=%" PRId64,
-	       call_name(c, room), c->msg.service, fp_outcome_name(outcome),
-	       fp_reason_name(why), c->n_tried, c->n_reached,
+	       fp_log_word(call_name(c, room), word), c->msg.service,
+	       fp_outcome_name(outcome), fp_reason_name(why), c->n_tried,
+	       c->n_reached,
 	       (c->deadline_us - fp_loop_now_us(c->t->loop)) / FP_US_PER_MS);
 	call_send(c);
 }
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -105,16 +105,17 @@
 {
 	struct fp_traffic *t = e->t;
 	char root[CALL_HEX_BYTES];
+	char word[FP_LOG_WORD_BYTES];
 	struct fp_admission_level l;
 
 	fp_admission_read_level(t->admission, &l);
 	sodium_bin2hex(root, sizeof(root), e->msg.root, sizeof(e->msg.root));
 	fp_log(FP_LOG_INFO, "execution_failed",
-	       "id=%.120s route=%s class=%s nested=%d outcome=%s reason=%s "
+	       "id=%s route=%s class=%s nested=%d outcome=%s reason=%s "
 	       "instance=%s serving=%d run_ms=%" PRId64 " left_ms=%" PRId64
 	       " running=%u limit=%u queued=%u delay_ms=%u",
-	       e->request_id ? e->request_id : root, e->msg.route,
-	       fp_class_name(e->msg.cls), e->msg.nested,
+	       fp_log_word(e->request_id ? e->request_id : root, word),
+	       e->msg.route, fp_class_name(e->msg.cls), e->msg.nested,
 	       fp_outcome_name(outcome), fp_reason_name(why),
 	       t->worker.instance, t->worker.serving, run_us / FP_US_PER_MS,
 	       (e->deadline_us - fp_loop_now_us(t->loop)) / FP_US_PER_MS,
--- a/test/test_log.cc
+++ b/test/test_log.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <cstring>
 #include <string>
 
 #include "base/log.h"
@@ -53,6 +54,18 @@
 	int fds[2];
 };
 
+TEST_F(Log, AWordOfACallerIsNoOtherField)
+{
+	char room[FP_LOG_WORD_BYTES];
+
+	EXPECT_STREQ("9c41-d0:7.b/e@", fp_log_word("9c41-d0:7.b/e@", room));
+	EXPECT_STREQ("a_outcome_ran__x__",
+		     fp_log_word("a outcome=ran\t\"x\xff\x01", room));
+	EXPECT_STREQ("", fp_log_word("", room));
+	EXPECT_EQ(FP_LOG_WORD_BYTES - 1,
+		  strlen(fp_log_word(std::string(500, 'z').c_str(), room)));
+}
+
 TEST_F(Log, ALineHasTimeLevelEventAndFields)
 {
 	fp_log(FP_LOG_WARN, "something", "id=%d why=%s", 7, "none");
