Hosted nodes take up changed bounds while they run

The platform tells of changed settings by SIGHUP or not at all. A hosted node read its file at its start only. Now the file is looked at each 2 s and at SIGHUP; [bounds] is taken up, a wrong file or another change is refused with a line and nothing changes.

--- a/src/node/handover.c
+++ b/src/node/handover.c
@@ -316,6 +316,27 @@
 	post(t, take_secrets, copy);
 }
 
+static void take_settings(void *ctx)
+{
+	struct handed *h = ctx;
+	struct fp_traffic *t = h->t;
+
+	t->settings = h->value;
+	free(t->reloaded);
+	t->reloaded = h->value;
+	free(h);
+}
+
+void fp_traffic_set_settings(struct fp_traffic *t, const struct fp_settings *s)
+{
+	struct fp_settings *copy = malloc(sizeof(*copy));
+
+	if (!copy)
+		abort();
+	*copy = *s;
+	post(t, take_settings, copy);
+}
+
 void fp_traffic_drain(struct fp_traffic *t)
 {
 	post(t, begin_drain, NULL);
--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -4,10 +4,13 @@
 #include <apr_pools.h>
 #include <apr_thread_proc.h>
 #include <inttypes.h>
+#include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "base/log.h"
 #include "coordination/directory.h"
@@ -20,6 +23,9 @@
  * store to hear of it; it answers within 4 ms. */
 #define LEAVE_US (100 * FP_US_PER_MS)
 
+/* How often the settings file is looked at. */
+#define SETTINGS_EVERY_US (2 * FP_US_PER_S)
+
 struct fp_hosted {
 	const struct fp_settings *settings;
 	struct fp_counters *counters;
@@ -31,6 +37,9 @@
 	struct fp_directory *directory;
 	struct fp_http_server *admin;
 	uint32_t n_members;
+	const char *settings_path;
+	struct stat settings_seen; /* when it was looked at last */
+	struct fp_timer look;
 	struct fp_timer leaving; /* when the lease is ended, at a stop */
 	void (*stopped)(void *ctx);
 	void *stopped_ctx;
@@ -227,6 +236,45 @@
 	fp_loop_post(h->loop, take_drained, h);
 }
 
+/* --- settings file --- */
+
+static bool same_file(const struct stat *a, const struct stat *b)
+{
+	return a->st_ino == b->st_ino && a->st_size == b->st_size &&
+	       a->st_mtim.tv_sec == b->st_mtim.tv_sec &&
+	       a->st_mtim.tv_nsec == b->st_mtim.tv_nsec;
+}
+
+static void look(void *ctx)
+{
+	struct fp_hosted *h = ctx;
+	struct stat now;
+
+	/* A file that is away is about to be written. */
+	if (stat(h->settings_path, &now) == 0) {
+		if (!same_file(&now, &h->settings_seen))
+			kill(getpid(), SIGHUP);
+		h->settings_seen = now;
+	}
+	fp_timer_set(h->loop, &h->look,
+		     fp_loop_now_us(h->loop) + SETTINGS_EVERY_US, look, h);
+}
+
+static void begin_look(void *ctx)
+{
+	struct fp_hosted *h = ctx;
+
+	if (stat(h->settings_path, &h->settings_seen) != 0)
+		memset(&h->settings_seen, 0, sizeof(h->settings_seen));
+	look(h);
+}
+
+void fp_hosted_watch_settings(struct fp_hosted *h, const char *path)
+{
+	h->settings_path = path;
+	fp_loop_post(h->loop, begin_look, h);
+}
+
 /* --- life --- */
 
 static void describe_self(const struct fp_settings *s, uint64_t id,
--- a/src/node/hosted.h
+++ b/src/node/hosted.h
@@ -34,6 +34,10 @@
 void fp_hosted_set_traffic(struct fp_hosted *h, struct fp_traffic *t);
 enum fp_status fp_hosted_start(struct fp_hosted *h);
 
+/** Raises SIGHUP when the settings file changes, which the platform may do
+ *  without a signal; the path must outlive the node. */
+void fp_hosted_watch_settings(struct fp_hosted *h, const char *path);
+
 /** The worker announced something; any thread. */
 void fp_hosted_worker(struct fp_hosted *h, const struct fp_worker *w);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -29,6 +29,7 @@
 /* All parts of a running node. */
 struct node {
 	struct fp_settings settings;
+	struct fp_settings bounds; /* settings with the bounds read last */
 	struct fp_counters *counters;
 	struct fp_control *control; /* this or hosted */
 	struct fp_hosted *hosted;
@@ -143,20 +144,37 @@
 	pthread_kill(*waiter, SIGUSR1);
 }
 
-static void reload_secrets(struct node *n, const char *path)
+/* What a running node can change: a hosted one its bounds, another one the
+ * fleet's secrets. */
+static enum fp_status take_settings(struct node *n, const struct fp_settings *s)
+{
+	enum fp_status st;
+
+	if (n->control) {
+		fp_traffic_set_secrets(n->traffic, s);
+		fp_control_set_secrets(n->control, s);
+		return FP_OK;
+	}
+	st = fp_settings_take_bounds(&n->bounds, s);
+	if (st == FP_OK)
+		fp_traffic_set_settings(n->traffic, &n->bounds);
+	return st;
+}
+
+static void reload(struct node *n, const char *path)
 {
 	struct fp_settings s;
 
-	if (fp_settings_load(path, &s) != FP_OK) {
+	if (fp_settings_load(path, &s) != FP_OK ||
+	    take_settings(n, &s) != FP_OK)
 		fp_log(FP_LOG_ERROR, "reload_refused", "why=\"%s\"",
 		       fp_last_message());
-		return;
-	}
-	if (n->control) {
-		fp_traffic_set_secrets(n->traffic, &s);
-		fp_control_set_secrets(n->control, &s);
-	}
-	fp_log(FP_LOG_INFO, "reloaded", "secrets=%u", s.n_secrets);
+	else
+		fp_log(FP_LOG_INFO, "reloaded",
+		       "secrets=%u revoke_ms=%" PRId64 " retry_permille=%u "
+		       "retry_floor=%u",
+		       s.n_secrets, s.revoke_us / FP_US_PER_MS,
+		       s.retry_permille, s.retry_floor);
 	sodium_memzero(&s, sizeof(s));
 }
 
@@ -172,7 +190,7 @@
 		if (sig == SIGUSR1 && stopping)
 			return;
 		if (sig == SIGHUP)
-			reload_secrets(n, path);
+			reload(n, path);
 		if ((sig == SIGTERM || sig == SIGINT) && !stopping) {
 			stopping = true;
 			if (n->hosted)
@@ -186,7 +204,7 @@
 int fp_node_main(const struct fp_settings *s, const char *settings_path,
 		 const struct fp_platform *p)
 {
-	struct node n = { .settings = *s };
+	struct node n = { .settings = *s, .bounds = *s };
 	sigset_t set;
 	int rc = 0;
 
@@ -205,6 +223,8 @@
 	fp_log_setup((enum fp_log_level)s->log_level, STDOUT_FILENO);
 	n.counters = fp_counters_init();
 	if (start(&n, p) == FP_OK) {
+		if (n.hosted)
+			fp_hosted_watch_settings(n.hosted, settings_path);
 		wait_for_end(&n, &set, settings_path);
 		fp_log(FP_LOG_INFO, "stopped", "node=%s", n.settings.name);
 	} else {
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -398,5 +398,6 @@
 	free(t->verdicts);
 	fp_loop_end(t->loop);
 	apr_pool_destroy(t->pool);
+	free(t->reloaded);
 	free(t);
 }
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -93,6 +93,8 @@
  * one is younger than the settings' revoke time less a margin.
  */
 void fp_traffic_set_current(struct fp_traffic *t, int64_t asked_us);
+/** Takes bounds that were read anew; copied; any thread. */
+void fp_traffic_set_settings(struct fp_traffic *t, const struct fp_settings *s);
 /** Replaces the fleet's secrets; any thread. */
 void fp_traffic_set_secrets(struct fp_traffic *t, const struct fp_settings *s);
 /**
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -58,6 +58,7 @@
 
 struct fp_traffic {
 	const struct fp_settings *settings;
+	struct fp_settings *reloaded; /* settings, once they were read anew */
 	const struct fp_dialect *dialect;
 	bool hosted; /* the store holds members and the operators' record */
 	uint64_t node_id;
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -303,3 +303,26 @@
 	fp_toml_end(t);
 	return st;
 }
+
+static void copy_bounds(struct fp_settings *s, const struct fp_settings *from)
+{
+	s->revoke_us = from->revoke_us;
+	s->grace_us = from->grace_us;
+	s->retry_permille = from->retry_permille;
+	s->retry_floor = from->retry_floor;
+	s->retry_window_us = from->retry_window_us;
+}
+
+enum fp_status fp_settings_take_bounds(struct fp_settings *s,
+				       const struct fp_settings *newer)
+{
+	struct fp_settings rest = *newer;
+
+	copy_bounds(&rest, s);
+	if (memcmp(&rest, s, sizeof(rest)) != 0)
+		return fp_fail(FP_INVALID,
+			       "a setting outside [bounds] changed; "
+			       "it takes a restart");
+	copy_bounds(s, newer);
+	return FP_OK;
+}
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -89,6 +89,16 @@
  */
 enum fp_status fp_settings_load(const char *path, struct fp_settings *s);
 
+/**
+ * Takes the settings that a running node can change, those of [bounds], out of a
+ * file that was read anew.
+ *
+ * @return FP_OK, or FP_INVALID with a last message and nothing taken when
+ *         another setting differs
+ */
+enum fp_status fp_settings_take_bounds(struct fp_settings *s,
+				       const struct fp_settings *newer);
+
 #ifdef __cplusplus
 }
 #endif
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -101,6 +101,7 @@
 			"timeout_ms = 500\n[bounds]\nrevoke = \"5s\"\n"
 			"grace = \"6s\"\nretry_ratio = \"0.2\"\n"
 			"retry_floor = 50\n";
+		settings[m->id] = text;
 		EXPECT_TRUE(fleet_write_file(f, (m->id + ".toml").c_str(),
 					     text.c_str(), path, sizeof(path)));
 		const char *args[] = { "node", "--settings", path, nullptr };
@@ -309,6 +310,7 @@
 	std::string net;
 	std::vector<std::unique_ptr<Machine>> machines;
 	std::list<std::string> texts;
+	std::map<std::string, std::string> settings; /* by server's id */
 	std::map<std::string, std::atomic<bool>> left;
 	std::atomic<bool> beating{ true };
 	std::thread beats;
@@ -563,6 +565,47 @@
 	}
 }
 
+/* Bounds are taken up by a signal or without one; a wrong file changes none. */
+TEST_F(Hosted, ChangedBoundsAreTakenUp)
+{
+	serve();
+	Machine &m = *machines[0];
+	char path[512];
+	auto write = [&](const std::string &from, const std::string &to) {
+		std::string text = settings[m.id];
+
+		text.replace(text.find(from), from.size(), to);
+		EXPECT_TRUE(fleet_write_file(f, (m.id + ".toml").c_str(),
+					     text.c_str(), path, sizeof(path)));
+	};
+	auto refused_after_ms = [&] {
+		int ms = 0;
+
+		platform_store_set(store, PLATFORM_SILENT);
+		while (call(m, "/front/x").status == 200 && ms < 6000) {
+			usleep(50000);
+			ms += 50;
+		}
+		platform_store_set(store, PLATFORM_WELL);
+		EXPECT_TRUE(wait(
+			[&] { return call(m, "/front/x").status == 200; }));
+		return ms;
+	};
+	EXPECT_GT(refused_after_ms(), 2500);
+	write("revoke = \"5s\"", "revoke = \"2s\"");
+	fleet_process_signal(m.node, SIGHUP);
+	EXPECT_TRUE(wait([&] { return says(m, "reloaded"); }, 1500));
+	EXPECT_LT(refused_after_ms(), 2000);
+	write("revoke = \"5s\"", "revoke = \"never\"");
+	EXPECT_TRUE(wait([&] { return says(m, "reload_refused"); }));
+	EXPECT_LT(refused_after_ms(), 2000);
+	write("name = \"n2\"", "name = \"n9\"");
+	EXPECT_TRUE(wait([&] { return count(m, "reload_refused") == 2; }));
+	write("revoke = \"5s\"", "revoke = \"5500ms\"");
+	EXPECT_TRUE(wait([&] { return says(m, "revoke_ms=5500"); }));
+	EXPECT_GT(refused_after_ms(), 2500);
+}
+
 TEST_F(Hosted, ARateHoldsOverBothNodes)
 {
 	serve();
