Settings of a running node are compared by their table

It now goes by the table of settings and names the one that changed. Test: Settings.BoundsAloneAreTakenWhileRunning.

--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -304,25 +304,42 @@
 	return st;
 }
 
-static void copy_bounds(struct fp_settings *s, const struct fp_settings *from)
+static bool is_bound(const struct fp_field *f)
 {
-	s->revoke_us = from->revoke_us;
-	s->grace_us = from->grace_us;
-	s->retry_permille = from->retry_permille;
-	s->retry_floor = from->retry_floor;
-	s->retry_window_us = from->retry_window_us;
+	return strcmp(f->section, "bounds") == 0;
+}
+
+static bool same(const struct fp_field *f, const struct fp_settings *a,
+		 const struct fp_settings *b)
+{
+	const uint8_t *x = (const uint8_t *)a;
+	const uint8_t *y = (const uint8_t *)b;
+	bool is_list = f->count_offset != 0;
+	size_t bytes = is_list ? f->size * (size_t)f->max : f->size;
+
+	return memcmp(x + f->offset, y + f->offset, bytes) == 0 &&
+	       (!is_list || memcmp(x + f->count_offset, y + f->count_offset,
+				   sizeof(uint32_t)) == 0);
 }
 
 enum fp_status fp_settings_take_bounds(struct fp_settings *s,
 				       const struct fp_settings *newer)
 {
-	struct fp_settings rest = *newer;
+	const struct fp_field *f;
+	uint32_t i;
 
-	copy_bounds(&rest, s);
-	if (memcmp(&rest, s, sizeof(rest)) != 0)
-		return fp_fail(FP_INVALID,
-			       "a setting outside [bounds] changed; "
-			       "it takes a restart");
-	copy_bounds(s, newer);
+	for (i = 0; i < fp_settings_table_len; i++) {
+		f = &fp_settings_table[i];
+		if (!is_bound(f) && !same(f, s, newer))
+			return fp_fail(FP_INVALID,
+				       "%s.%s changed; it takes a restart",
+				       f->section, f->name);
+	}
+	for (i = 0; i < fp_settings_table_len; i++) {
+		f = &fp_settings_table[i];
+		if (is_bound(f))
+			memcpy((uint8_t *)s + f->offset,
+			       (const uint8_t *)newer + f->offset, f->size);
+	}
 	return FP_OK;
 }
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -197,6 +197,33 @@
 	EXPECT_EQ(std::string::npos, got.find("bbb")) << got;
 }
 
+TEST(Settings, BoundsAloneAreTakenWhileRunning)
+{
+	const std::string bounds = "[bounds]\nrevoke = \"2s\"\n";
+	struct fp_settings s;
+	struct fp_settings newer;
+
+	ASSERT_EQ(FP_OK, load(whole, &s));
+	ASSERT_EQ(FP_OK, load(whole + bounds, &newer));
+	EXPECT_EQ(FP_OK, fp_settings_take_bounds(&s, &newer));
+	EXPECT_EQ(2000000, s.revoke_us);
+	const std::string others[] = {
+		"[log]\nlevel = \"debug\"\n",
+		"[listen]\nhttp_port = 1\n",
+		"[limits]\nclaim_lifetime_s = 700\n",
+	};
+	for (const auto &other : others) {
+		ASSERT_EQ(FP_OK, load(whole + other, &newer));
+		EXPECT_EQ(FP_INVALID, fp_settings_take_bounds(&s, &newer))
+			<< other;
+		EXPECT_EQ(2000000, s.revoke_us);
+	}
+	const std::string two =
+		"[fleet]\nsecrets = [\"" + secret + "\", \"" + secret + "\"]\n";
+	ASSERT_EQ(FP_OK, load(node + store + two, &newer));
+	EXPECT_EQ(FP_INVALID, fp_settings_take_bounds(&s, &newer));
+}
+
 TEST(Settings, MissingFile)
 {
 	struct fp_settings s;
