--- a/src/node/call.c
+++ b/src/node/call.c
@@ -73,15 +73,16 @@
 	return c;
 }
 
-const char *call_name(const struct call *c, char room[FP_REQUEST_NAME_BYTES])
+/* The caller's id of a request, or the root's, as one word of a line. */
+static const char *log_name(const struct call *c, char word[FP_LOG_WORD_BYTES])
 {
 	const char *name = c->t->dialect->request_id;
 	const char *id =
 		name ? fp_msg_header_find(&c->msg.content, name) : NULL;
 
 	if (id)
-		return id;
-	return sodium_bin2hex(room, FP_REQUEST_NAME_BYTES, c->msg.root,
+		return fp_log_word(id, word);
+	return sodium_bin2hex(word, FP_LOG_WORD_BYTES, c->msg.root,
 			      sizeof(c->msg.root));
 }
 
@@ -89,7 +90,6 @@
 		    enum fp_reason why, int http_status)
 {
 	int64_t now_us = fp_loop_now_us(c->t->loop);
-	char room[FP_REQUEST_NAME_BYTES];
 	char word[FP_LOG_WORD_BYTES];
 
 	fp_log(FP_LOG_INFO, why == FP_REASON_NONE ? "answered" : "refused",
@@ -97,9 +97,9 @@
 	       "outcome=%s reason=%s blame=%s status=%d total_ms=%" PRId64
 	       " left_ms=%" PRId64 " sent=%u reached=%u worker=%016" PRIx64
 	       " gone=%d config=%" PRIu64,
-	       fp_log_word(call_name(c, room), word), c->msg.route,
-	       c->msg.service, c->msg.org, fp_class_name(c->msg.cls),
-	       c->msg.nested, fp_outcome_name(outcome), fp_reason_name(why),
+	       log_name(c, word), c->msg.route, c->msg.service, c->msg.org,
+	       fp_class_name(c->msg.cls), c->msg.nested,
+	       fp_outcome_name(outcome), fp_reason_name(why),
 	       c->blame ? c->blame : "-", http_status,
 	       (now_us - c->started_us) / FP_US_PER_MS,
 	       (c->deadline_us - now_us) / FP_US_PER_MS, c->n_tried,
@@ -298,7 +298,6 @@
 static void attempt_over(struct call *c, enum fp_outcome outcome,
 			 enum fp_reason why, bool reached)
 {
-	char room[FP_REQUEST_NAME_BYTES];
 	char word[FP_LOG_WORD_BYTES];
 
 	forget_attempt(c);
@@ -317,9 +316,8 @@
 	fp_log(FP_LOG_INFO, "sent_again",
 	       "id=%s service=%s outcome=%s reason=%s sent=%u reached=%u "
 	       "left_ms=%" PRId64,
-	       fp_log_word(call_name(c, room), word), c->msg.service,
-	       fp_outcome_name(outcome), fp_reason_name(why), c->n_tried,
-	       c->n_reached,
+	       log_name(c, word), c->msg.service, fp_outcome_name(outcome),
+	       fp_reason_name(why), c->n_tried, c->n_reached,
 	       (c->deadline_us - fp_loop_now_us(c->t->loop)) / FP_US_PER_MS);
 	call_send(c);
 }
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -5,9 +5,6 @@
 #include "node/traffic_private.h"
 #include "state/claims.h"
 
-/** Room for a request's name in logs. */
-#define FP_REQUEST_NAME_BYTES (2 * FP_CALL_ID_BYTES + 1)
-
 /** A call from its arrival to its answer. */
 struct call {
 	struct fp_traffic *t;
@@ -49,9 +46,6 @@
 struct call *call_new(struct fp_traffic *t, struct fp_http_exchange *x,
 		      const struct fp_http_request *r);
 
-/** The name of its request in logs: the caller's id, else the root's. */
-const char *call_name(const struct call *c, char room[FP_REQUEST_NAME_BYTES]);
-
 /** Fills in what the route says. */
 void call_set_route(struct call *c, const struct fp_route *r);
 
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -101,11 +101,6 @@
 	return id;
 }
 
-uint64_t owner_of(const struct fp_traffic *t, const char *org)
-{
-	return highest(t, org, false, 0);
-}
-
 uint64_t owner_to_ask(const struct fp_traffic *t, const char *org,
 		      uint64_t shunned)
 {
@@ -183,7 +178,7 @@
 	int i = fp_config_find_org(t->config, org);
 
 	return i >= 0 && t->config->orgs[i].rate_per_s &&
-	       owner_of(t, org) == t->node_id;
+	       highest(t, org, false, 0) == t->node_id;
 }
 
 static void bucket_end(struct org_bucket *b)
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -10,11 +10,8 @@
 /** Members or configuration changed: takes over buckets, drops others. */
 void owner_update(struct fp_traffic *t);
 
-/** Returns the id of the node that owns an organisation's bucket; 0: none. */
-uint64_t owner_of(const struct fp_traffic *t, const char *org);
-
-/** Returns the highest in rank that can be asked: not shunned, its link not
- *  lost. */
+/** Returns the node that is asked for an organisation's tokens: the highest in
+ *  rank that is not shunned and whose link is not lost; 0: none. */
 uint64_t owner_to_ask(const struct fp_traffic *t, const char *org,
 		      uint64_t shunned);
 
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -196,7 +196,7 @@
 	o->alone = true;
 	fp_share_restart(&o->share, now_us - o->joined_us > SHARE_REST_US,
 			 now_us);
-	fp_log(FP_LOG_WARN, "rate_alone", "org=%s asked=%016" PRIx64, o->org,
+	fp_log(FP_LOG_WARN, "rate_alone", "org=%s owner=%016" PRIx64, o->org,
 	       o->asked_id);
 }
 
