--- a/src/state/early.c
+++ b/src/state/early.c
@@ -7,8 +7,10 @@
  *
  * The passing share is integrated in its logarithm: while a service refuses
  * more than a little it shrinks in proportion to what is refused above that,
- * else it grows, faster the longer it was not refused. The little that is still refused shows that the service is
- * filled. Workers smooth their shares over a second, and a control on a signal
+ * else it grows. It grows along a cubic whose flat part lies where the refusals
+ * began last: quickly back to what was good before, slowly around it, and then
+ * faster and faster, since what was not refused for long has changed. The
+ * little that is still refused shows that the service is filled. Workers smooth their shares over a second, and a control on a signal
  * that late would be slow or swing; so the trend is added again, which leaves
  * a lag of LEAD_S. A share that merely equals what is refused needs no memory,
  * but then much of what should go still enters; docs/DESIGN-load.md has both.
@@ -37,16 +39,15 @@
 #define MAX_WORKERS  64 /* of a service, the last heard of */
 
 /* Tuning. */
-#define LEVEL_US     2000000 /* how long a worker's shares count */
+#define LEVEL_US     1000000 /* how long a worker's shares count */
 #define STEP_US	     100000 /* least time between changes of a share */
 #define MAX_STEP_US  1000000 /* longest time that one change makes up for */
-#define REFUSED_AIM  0.03 /* refused share at which the passing one rests */
+#define REFUSED_AIM  0.04 /* refused share at which the passing one rests */
 #define SMOOTHED_S   1.0 /* smoothing of the shares by the workers */
 #define LEAD_S	     0.15 /* lag that is left of it */
-#define SHRINK_S     0.6 /* time constant of shrinking */
-#define GROW_PER_S   3.0 /* growth of the logarithm while none is refused */
-#define QUIET_S	     3.5 /* time after a refusal in which growth gets up to speed */
-#define PASS_MIN     0.005 /* passes always, so that the end is seen */
+#define SHRINK_S     0.5 /* time constant of shrinking */
+#define GROW_CUBIC   1.0 /* growth of the logarithm by the cube of seconds */
+#define PASS_MIN     0.01 /* passes always, so that the end is seen */
 #define CALLS_WEIGHT 8 /* smoothing of the calls of a route, in answers */
 #define CALLS_MIN    0.01 /* fewer mean calls are forgotten */
 #define CALLS_MAX    8.0 /* greatest power */
@@ -63,8 +64,10 @@
 	int64_t heard_us; /* newest level */
 	int64_t stepped_us; /* last change of the shares */
 	double pass[FP_CLASS_COUNT]; /* share that may pass */
-	double quiet_s
-		[FP_CLASS_COUNT]; /* since more than the aim was refused */
+	/* since more than the aim was refused; 0 while it is */
+	double quiet_s[FP_CLASS_COUNT];
+	double peak[FP_CLASS_COUNT]; /* logarithm at which refusals began */
+	double low[FP_CLASS_COUNT]; /* logarithm at which they ended */
 	double late[FP_CLASS_COUNT]; /* refused share, smoothed again */
 	struct worker_level workers[MAX_WORKERS];
 	uint32_t n_workers;
@@ -136,8 +139,10 @@
 	s->hash = hash;
 	strncpy(s->name, name, FP_NAME_BYTES - 1);
 	s->stepped_us = now_us;
-	for (i = 0; i < FP_CLASS_COUNT; i++)
+	for (i = 0; i < FP_CLASS_COUNT; i++) {
 		s->pass[i] = 1;
+		s->quiet_s[i] = MAX_STEP_US / 1e6;
+	}
 	return s;
 }
 
@@ -174,21 +179,37 @@
 	return n ? sum / 1000.0 / n : 0;
 }
 
+static void shrink(struct service *s, int cls, double above, double step_s)
+{
+	if (s->quiet_s[cls] > 0)
+		s->peak[cls] = log(s->pass[cls]);
+	s->quiet_s[cls] = 0;
+	s->pass[cls] *= exp(-above * step_s / SHRINK_S);
+}
+
+static void grow(struct service *s, int cls, double step_s)
+{
+	double to_peak_s;
+	double t;
+
+	if (s->quiet_s[cls] == 0)
+		s->low[cls] = fmin(log(s->pass[cls]), s->peak[cls]);
+	s->quiet_s[cls] += step_s;
+	to_peak_s = cbrt((s->peak[cls] - s->low[cls]) / GROW_CUBIC);
+	t = s->quiet_s[cls] - to_peak_s;
+	s->pass[cls] = exp(s->peak[cls] + GROW_CUBIC * t * t * t);
+}
+
 /* Moves the passing share of a class; room is that of the class above it. */
 static void step_pass(struct service *s, int cls, double refused, double room,
 		      double step_s)
 {
 	double above = refused - REFUSED_AIM;
-	double speed;
 
-	if (above > 0) {
-		s->quiet_s[cls] = 0;
-		s->pass[cls] *= exp(-above * step_s / SHRINK_S);
-	} else {
-		s->quiet_s[cls] += step_s;
-		speed = GROW_PER_S * fmin(1, s->quiet_s[cls] / QUIET_S) * room;
-		s->pass[cls] *= exp(-above / REFUSED_AIM * step_s * speed);
-	}
+	if (above > 0)
+		shrink(s, cls, above, step_s);
+	else
+		grow(s, cls, -above / REFUSED_AIM * step_s);
 	s->pass[cls] = fmin(room, fmax(PASS_MIN, s->pass[cls]));
 }
 
