--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -171,7 +171,7 @@
 		return;
 	if (r->status != FP_OK || !r->n_items) {
 		directory_failed(&d->config, r->status);
-		directory_answer_askers(d, FP_UNAVAILABLE);
+		directory_answer_followers(d, FP_UNAVAILABLE);
 		return;
 	}
 	directory_succeeded(&d->config);
@@ -181,7 +181,7 @@
 	/* What cannot be read may take a key away. */
 	if (d->config_read)
 		d->ops.current(d->ops.ctx, d->config_asked_us);
-	directory_answer_askers(d, FP_OK);
+	directory_answer_followers(d, FP_OK);
 	directory_run_after(&d->config,
 			    next_us > now_us ? next_us - now_us : 0);
 }
@@ -246,12 +246,12 @@
 void fp_directory_end(struct fp_directory *d)
 {
 	struct directory_record *rec;
-	struct directory_asker *k;
+	struct directory_follower *k;
 
 	if (!d)
 		return;
-	while ((k = d->askers)) {
-		d->askers = k->next;
+	while ((k = d->followers)) {
+		d->followers = k->next;
 		free(k);
 	}
 	while ((rec = d->records)) {
--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -45,6 +45,24 @@
 	return text;
 }
 
+/* Whether a call under the lease succeeded; otherwise sets the next step. */
+static bool lease_holds(struct fp_directory *d, enum fp_status st)
+{
+	if (st == FP_OK) {
+		directory_succeeded(&d->own);
+		return true;
+	}
+	if (st == FP_NOT_FOUND) {
+		fp_log(FP_LOG_WARN, "lease_ended", "lease=%" PRIu64, d->lease);
+		d->lease = 0;
+		d->written = false;
+		directory_run_after(&d->own, 0);
+	} else {
+		directory_failed(&d->own, st);
+	}
+	return false;
+}
+
 static void on_written(void *ctx, const struct fp_registry_result *r)
 {
 	struct fp_directory *d = ctx;
@@ -52,16 +70,8 @@
 	if (d->closed)
 		return;
 	d->writing = false;
-	if (r->status == FP_NOT_FOUND) {
-		d->lease = 0; /* it ended before the write */
-		directory_run_after(&d->own, 0);
-		return;
-	}
-	if (r->status != FP_OK) {
-		directory_failed(&d->own, r->status);
+	if (!lease_holds(d, r->status))
 		return;
-	}
-	directory_succeeded(&d->own);
 	d->written = !d->dirty;
 	directory_run_after(&d->own, d->dirty ? 0 : KEEP_US);
 }
@@ -98,21 +108,8 @@
 {
 	struct fp_directory *d = ctx;
 
-	if (d->closed)
-		return;
-	if (r->status == FP_NOT_FOUND) {
-		fp_log(FP_LOG_WARN, "lease_ended", "lease=%" PRIu64, d->lease);
-		d->lease = 0;
-		d->written = false;
-		directory_run_after(&d->own, 0);
-		return;
-	}
-	if (r->status != FP_OK) {
-		directory_failed(&d->own, r->status);
-		return;
-	}
-	directory_succeeded(&d->own);
-	directory_run_after(&d->own, d->written ? KEEP_US : 0);
+	if (!d->closed && lease_holds(d, r->status))
+		directory_run_after(&d->own, d->written ? KEEP_US : 0);
 }
 
 static void ignore(void *ctx, const struct fp_registry_result *r)
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -25,10 +25,10 @@
 };
 
 /* A member that waits for word of the record. */
-struct directory_asker {
+struct directory_follower {
 	char addr[FP_MEMBER_ADDR_BYTES];
 	uint64_t ask_id;
-	struct directory_asker *next;
+	struct directory_follower *next;
 };
 
 struct fp_directory {
@@ -50,7 +50,7 @@
 	uint64_t ask_id; /* of the last question to a delegate */
 	int64_t direct_until_us; /* delegates are not asked */
 	uint64_t delegate; /* last one, for the log */
-	struct directory_asker *askers;
+	struct directory_follower *followers;
 	uint64_t lease; /* 0: none */
 	bool written; /* the record under the lease is the newest */
 	bool writing; /* a write of it is under way */
@@ -78,7 +78,7 @@
 /** It did not answer in time. */
 void directory_delegate_silent(struct fp_directory *d);
 /** The store answered this node, or did not: those who asked hear of it. */
-void directory_answer_askers(struct fp_directory *d, enum fp_status st);
+void directory_answer_followers(struct fp_directory *d, enum fp_status st);
 
 /* --- directory_members.c --- */
 
--- a/src/coordination/directory_relay.c
+++ b/src/coordination/directory_relay.c
@@ -1,19 +1,19 @@
 /*
- * directory_relay.c - one node of a failure domain asks the store for the others
+ * directory_relay.c - one node of a failure domain reads the store for the others
  *
- * The first by name of a domain's members is its delegate: it reads the
- * operators' record each second and tells those who asked it in the meantime
- * which revision the store holds and how long ago it asked. They read the record
- * themselves only if they hold another one, so that calls to the store grow with
- * domains and changes.
+ * The first by name of a domain's members is its delegate, the others are its
+ * followers. It reads the operators' record each second and tells the followers
+ * that asked meanwhile which revision the store holds and how long ago it asked.
+ * A follower reads the record itself only if it holds another revision, so calls
+ * to the store grow with domains and changes, not with nodes.
  *
- * What the answer proves: it was sent after the question, and the store was asked
- * age_us before that. So the record was current age_us before the question was
- * sent, on the asker's own clock, however long either message took.
+ * The answer is sent after the question, and the store was asked age_us before
+ * the answer. So the record was current age_us before the question, on the
+ * follower's own clock, however long either message took.
  *
  * A delegate that does not answer in time, or cannot tell, is not asked for
- * DIRECT_US; its askers read the store themselves. Nothing is agreed on: who is
- * asked but follows another one says that it cannot tell.
+ * DIRECT_US; its followers read the store themselves. Nothing is agreed on: a
+ * node that is asked but follows another one says that it cannot tell.
  */
 #include <inttypes.h>
 #include <stdlib.h>
@@ -27,7 +27,7 @@
 #define QUESTION_PAUSE_US (500 * FP_US_PER_MS)
 /* The other half, and a store that answers in 300 ms. */
 #define ANSWER_WAIT_US (800 * FP_US_PER_MS)
-/* As long as the proof of a delegate that is gone may count elsewhere. */
+/* About the lease of a record: a delegate that is gone is missing by then. */
 #define DIRECT_US (5 * FP_US_PER_S)
 
 static const struct fp_member *delegate(const struct fp_directory *d)
@@ -64,13 +64,11 @@
 	struct fp_msg_shared m = { .type = FP_MSG_CURRENT_ASK };
 	const struct fp_member *to = delegate(d);
 
-	if (asks_itself(d) || !d->config_read || d->read_now) {
-		if (to == &d->cfg.self)
-			note_delegate(d, to);
-		return false;
-	}
 	note_delegate(d, to);
-	directory_answer_askers(d, FP_UNAVAILABLE);
+	if (asks_itself(d) || !d->config_read || d->read_now)
+		return false;
+	/* Those who took this node for the delegate. */
+	directory_answer_followers(d, FP_UNAVAILABLE);
 	d->relayed = true;
 	d->config_asked_us = fp_mono_us(d->cfg.clock);
 	m.id = ++d->ask_id;
@@ -104,22 +102,22 @@
 	d->ops.send(d->ops.ctx, addr, &m);
 }
 
-void directory_answer_askers(struct fp_directory *d, enum fp_status st)
+void directory_answer_followers(struct fp_directory *d, enum fp_status st)
 {
-	struct directory_asker *k;
+	struct directory_follower *k;
 
-	while ((k = d->askers)) {
-		d->askers = k->next;
+	while ((k = d->followers)) {
+		d->followers = k->next;
 		answer(d, k->addr, k->ask_id, st);
 		free(k);
 	}
 }
 
-/* Only the last question of a member counts, so the list is no longer than the
+/* Only the last question of a member counts, which bounds the list by the
  * fleet. */
 static void take_ask(struct fp_directory *d, const char *addr, uint64_t ask_id)
 {
-	struct directory_asker *k = d->askers;
+	struct directory_follower *k = d->followers;
 
 	if (!asks_itself(d) || d->config.failing || !d->config_read) {
 		answer(d, addr, ask_id, FP_UNAVAILABLE);
@@ -132,8 +130,8 @@
 		if (!k)
 			abort();
 		strncpy(k->addr, addr, sizeof(k->addr) - 1);
-		k->next = d->askers;
-		d->askers = k;
+		k->next = d->followers;
+		d->followers = k;
 	}
 	k->ask_id = ask_id;
 }
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -90,11 +90,10 @@
 };
 
 /** Makes the client of a deployment's store. */
-typedef enum fp_status (*fp_registry_init_fn)(struct fp_loop *l,
-					      const char *url,
-					      int64_t timeout_us,
-					      struct fp_counters *cs,
-					      struct fp_registry **out);
+typedef enum fp_status(fp_registry_init_fn)(struct fp_loop *l, const char *url,
+					    int64_t timeout_us,
+					    struct fp_counters *cs,
+					    struct fp_registry **out);
 
 #ifdef __cplusplus
 }
--- a/src/coordination/store_http.c
+++ b/src/coordination/store_http.c
@@ -11,11 +11,9 @@
 #include <string.h>
 
 #include "coordination/store.h"
-#include "transport/http_client.h"
+#include "coordination/store_client.h"
 
-#define MAX_ANSWER_BYTES (4u << 20)
-#define MAX_IDLE	 4
-#define URL_BYTES	 640
+#define PATH_BYTES 640
 
 enum call_kind { CALL_GET, CALL_CAS, CALL_LIST, CALL_WATCH, CALL_KINDS };
 
@@ -28,11 +26,7 @@
 
 struct store_http {
 	struct fp_store store; /* first member */
-	struct fp_http_client *client;
-	char url[256];
-	int64_t timeout_us;
-	struct fp_counter *calls[CALL_KINDS];
-	struct fp_counter *failures[CALL_KINDS];
+	struct fp_store_client client;
 };
 
 /* One call in flight. */
@@ -65,24 +59,11 @@
 	}
 }
 
-static json_t *parse_body(const struct fp_http_result *r)
-{
-	if (!r->body_bytes)
-		return NULL;
-	return json_loadb((const char *)r->body, r->body_bytes, 0, NULL);
-}
-
-static void count_end(struct store_call *c, enum fp_status st)
-{
-	if (st == FP_UNAVAILABLE || st == FP_TIMEOUT)
-		fp_counter_add(c->s->failures[c->kind], 1);
-}
-
 static void on_done(void *ctx, const struct fp_http_result *r)
 {
 	struct store_call *c = ctx;
 	struct fp_store_result res = { .status = status_of(r) };
-	json_t *body = parse_body(r);
+	json_t *body = fp_store_client_body(r);
 	json_t *value = json_object_get(body, "value");
 
 	res.version =
@@ -95,7 +76,7 @@
 		res.status = FP_TIMEOUT;
 	if (res.status == FP_OK && !res.version)
 		res.status = FP_TIMEOUT;
-	count_end(c, res.status);
+	fp_store_client_ended(&c->s->client, c->kind, res.status);
 	c->done(c->ctx, &res);
 	json_decref(body);
 	free(c);
@@ -105,7 +86,7 @@
 {
 	struct store_call *c = ctx;
 	enum fp_status st = status_of(r);
-	json_t *body = parse_body(r);
+	json_t *body = fp_store_client_body(r);
 	json_t *list = json_object_get(body, "entries");
 	size_t n = json_array_size(list);
 	struct fp_store_entry *e = calloc(n ? n : 1, sizeof(*e));
@@ -127,7 +108,7 @@
 	}
 	if (st == FP_OK && !json_is_array(list))
 		st = FP_TIMEOUT;
-	count_end(c, st);
+	fp_store_client_ended(&c->s->client, c->kind, st);
 	c->list_done(c->ctx, st, e, n);
 	free(e);
 	json_decref(body);
@@ -144,28 +125,21 @@
 	c->s = s;
 	c->kind = kind;
 	c->ctx = ctx;
-	fp_counter_add(s->calls[kind], 1);
 	return c;
 }
 
-static void start(struct store_call *c, const char *method, const char *url,
-		  const char *body, int64_t timeout_us)
+static void start(struct store_call *c, const char *method, const char *path,
+		  const char *body, int64_t extra_us)
 {
-	struct fp_http_header type = { "Content-Type", "application/json" };
-	struct fp_http_out o = { .method = method,
-				 .url = url,
-				 .headers = &type,
-				 .n_headers = body ? 1 : 0,
-				 .body = body,
-				 .body_bytes = body ? strlen(body) : 0,
-				 .timeout_us = timeout_us,
-				 .max_answer_bytes = MAX_ANSWER_BYTES,
-				 .once = c->kind == CALL_CAS };
-	struct fp_http_result failed = { .status = FP_UNAVAILABLE };
-	fp_http_done_fn done = c->kind == CALL_LIST ? on_list_done : on_done;
-
-	if (fp_http_send(c->s->client, &o, done, c, NULL) != FP_OK)
-		done(c, &failed);
+	struct fp_store_call call = { .kind = c->kind,
+				      .method = method,
+				      .path = path,
+				      .body = body,
+				      .extra_us = extra_us,
+				      .once = c->kind == CALL_CAS };
+
+	fp_store_client_send(&c->s->client, &call,
+			     c->kind == CALL_LIST ? on_list_done : on_done, c);
 }
 
 static void http_get(struct fp_store *store, const char *key,
@@ -173,11 +147,11 @@
 {
 	struct store_http *s = (struct store_http *)store;
 	struct store_call *c = new_call(s, CALL_GET, ctx);
-	char url[URL_BYTES];
+	char path[PATH_BYTES];
 
 	c->done = done;
-	snprintf(url, sizeof(url), "%s/v1/kv/%s", s->url, key);
-	start(c, "GET", url, NULL, s->timeout_us);
+	snprintf(path, sizeof(path), "/v1/kv/%s", key);
+	start(c, "GET", path, NULL, 0);
 }
 
 static void http_cas(struct fp_store *store, const char *key, const char *value,
@@ -187,14 +161,14 @@
 	struct store_call *c = new_call(s, CALL_CAS, ctx);
 	json_t *body = json_pack("{s:s,s:i}", "value", value, "lease", 0);
 	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
-	char url[URL_BYTES];
+	char path[PATH_BYTES];
 
 	if (!text)
 		abort();
 	c->done = done;
-	snprintf(url, sizeof(url), "%s/v1/kv/%s?version=%" PRIu64, s->url, key,
+	snprintf(path, sizeof(path), "/v1/kv/%s?version=%" PRIu64, key,
 		 version);
-	start(c, "PUT", url, text, s->timeout_us);
+	start(c, "PUT", path, text, 0);
 	free(text);
 	json_decref(body);
 }
@@ -204,11 +178,11 @@
 {
 	struct store_http *s = (struct store_http *)store;
 	struct store_call *c = new_call(s, CALL_LIST, ctx);
-	char url[URL_BYTES];
+	char path[PATH_BYTES];
 
 	c->list_done = done;
-	snprintf(url, sizeof(url), "%s/v1/list?prefix=%s", s->url, prefix);
-	start(c, "GET", url, NULL, s->timeout_us);
+	snprintf(path, sizeof(path), "/v1/list?prefix=%s", prefix);
+	start(c, "GET", path, NULL, 0);
 }
 
 static void http_watch(struct fp_store *store, const char *key, uint64_t after,
@@ -216,20 +190,20 @@
 {
 	struct store_http *s = (struct store_http *)store;
 	struct store_call *c = new_call(s, CALL_WATCH, ctx);
-	char url[URL_BYTES];
+	char path[PATH_BYTES];
 
 	c->done = done;
-	snprintf(url, sizeof(url),
-		 "%s/v1/watch?key=%s&after=%" PRIu64 "&wait_ms=%" PRId64,
-		 s->url, key, after, wait_us / FP_US_PER_MS);
-	start(c, "GET", url, NULL, wait_us + s->timeout_us);
+	snprintf(path, sizeof(path),
+		 "/v1/watch?key=%s&after=%" PRIu64 "&wait_ms=%" PRId64, key,
+		 after, wait_us / FP_US_PER_MS);
+	start(c, "GET", path, NULL, wait_us);
 }
 
 static void http_end(struct fp_store *store)
 {
 	struct store_http *s = (struct store_http *)store;
 
-	fp_http_client_end(s->client);
+	fp_store_client_end(&s->client);
 	free(s);
 }
 
@@ -247,20 +221,12 @@
 {
 	struct store_http *s = calloc(1, sizeof(*s));
 	enum fp_status st;
-	int k;
 
 	if (!s)
 		return fp_fail(FP_NOMEM, "out of memory");
 	s->store.ops = &http_ops;
-	s->timeout_us = timeout_us;
-	snprintf(s->url, sizeof(s->url), "%s", url);
-	for (k = 0; k < CALL_KINDS; k++) {
-		s->calls[k] = fp_counter_get(cs, "fulmar_store_calls_total",
-					     kind_labels[k]);
-		s->failures[k] = fp_counter_get(
-			cs, "fulmar_store_failures_total", kind_labels[k]);
-	}
-	st = fp_http_client_init(l, MAX_IDLE, &s->client);
+	st = fp_store_client_init(&s->client, l, url, timeout_us, cs,
+				  kind_labels, CALL_KINDS);
 	if (st != FP_OK) {
 		free(s);
 		return st;
--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -186,6 +186,21 @@
 	return route;
 }
 
+/* Opens a call on its route; NULL: there is none, and it was refused. */
+static struct call *open_call(struct fp_traffic *t, struct fp_http_exchange *x,
+			      const struct fp_http_request *r,
+			      const struct fp_route **route)
+{
+	struct call *c;
+
+	*route = find_route(t, x, r);
+	if (!*route)
+		return NULL;
+	c = call_new(t, x, r);
+	call_set_route(c, *route);
+	return c;
+}
+
 static bool parse_call_id(const struct fp_http_request *r,
 			  uint8_t id[FP_CALL_ID_BYTES])
 {
@@ -213,11 +228,9 @@
 		refuse(t, x, up.cls, FP_REASON_CALL_UNKNOWN);
 		return;
 	}
-	route = find_route(t, x, r);
-	if (!route)
+	c = open_call(t, x, r, &route);
+	if (!c)
 		return;
-	c = call_new(t, x, r);
-	call_set_route(c, route);
 	c->msg.nested = true;
 	c->msg.cls = up.cls;
 	c->msg.rank = up.rank;
@@ -290,11 +303,9 @@
 		nested_call(t, x, r, parent);
 		return;
 	}
-	route = find_route(t, x, r);
-	if (!route)
+	c = open_call(t, x, r, &route);
+	if (!c)
 		return;
-	c = call_new(t, x, r);
-	call_set_route(c, route);
 	c->msg.cls = route->cls;
 	why = check_key(c, route, r);
 	if (why != FP_REASON_NONE) {
--- a/src/node/hosted.h
+++ b/src/node/hosted.h
@@ -21,7 +21,7 @@
 /** What a platform's adapter hands in. */
 struct fp_platform {
 	const struct fp_dialect *dialect;
-	fp_registry_init_fn registry_init;
+	fp_registry_init_fn *registry_init;
 };
 
 struct fp_hosted;
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -78,7 +78,7 @@
 
 /* The highest in rank, or of those that can be asked. */
 static uint64_t highest(const struct fp_traffic *t, const char *org,
-			bool reached, uint64_t shunned)
+			bool reached, uint64_t skipped)
 {
 	uint64_t seed = XXH3_64bits(org, strlen(org));
 	uint64_t best = 0;
@@ -93,7 +93,7 @@
 		if (id && rank <= best)
 			continue;
 		if (reached && m->id != t->node_id &&
-		    (m->id == shunned || is_lost(t->owner, m->peer_addr)))
+		    (m->id == skipped || is_lost(t->owner, m->peer_addr)))
 			continue;
 		best = rank;
 		id = m->id;
@@ -102,9 +102,9 @@
 }
 
 uint64_t owner_to_ask(const struct fp_traffic *t, const char *org,
-		      uint64_t shunned)
+		      uint64_t skipped)
 {
-	return highest(t, org, true, shunned);
+	return highest(t, org, true, skipped);
 }
 
 static struct org_bucket *find(const struct owner *o, const char *org)
@@ -145,7 +145,7 @@
 	fp_bucket_set_rate(b->bucket, b->rate_per_s, burst, now_us);
 }
 
-static struct org_bucket *add(struct fp_traffic *t, const struct fp_org *org,
+static struct org_bucket *add(struct fp_traffic *t, const char *org,
 			      int64_t now_us)
 {
 	struct org_bucket *b = calloc(1, sizeof(*b));
@@ -156,7 +156,7 @@
 	b->pool = fp_pool_init();
 	if (!b->bucket || !b->pool)
 		abort();
-	memcpy(b->org, org->name, sizeof(b->org));
+	memcpy(b->org, org, strlen(org) + 1);
 	b->next = t->owner->buckets;
 	t->owner->buckets = b;
 	return b;
@@ -250,7 +250,7 @@
 			continue;
 		b = find(t->owner, org->name);
 		if (!b)
-			b = add(t, org, now_us);
+			b = add(t, org->name, now_us);
 		if (!b->ours)
 			own(t, b, org, now_us);
 		set_rate(t, b, org, now_us);
@@ -272,7 +272,7 @@
 	if (i < 0 || !t->config->orgs[i].rate_per_s)
 		return;
 	if (!b)
-		b = add(t, &t->config->orgs[i], now_us);
+		b = add(t, ask->org, now_us);
 	fp_pool_join(b->pool, from, now_us);
 	set_rate(t, b, &t->config->orgs[i], now_us);
 	if (!b->rate_per_s)
--- a/src/state/early.c
+++ b/src/state/early.c
@@ -10,10 +10,11 @@
  * else it grows. It grows along a cubic whose flat part lies where the refusals
  * began last: quickly back to what was good before, slowly around it, and then
  * faster and faster, since what was not refused for long has changed. The
- * little that is still refused shows that the service is filled. Workers smooth their shares over a second, and a control on a signal
- * that late would be slow or swing; so the trend is added again, which leaves
- * a lag of LEAD_S. A share that merely equals what is refused needs no memory,
- * but then much of what should go still enters; docs/DESIGN-load.md has both.
+ * little that is still refused shows that the service is filled. Workers smooth
+ * their shares over a second, and a control on a signal that late would be slow
+ * or swing; so the trend is added again, which leaves a lag of LEAD_S. A share
+ * that merely equals what is refused needs no memory, but then much of what
+ * should go still enters; docs/DESIGN-load.md has both.
  *
  * A root that calls a service k times on average passes with the k-th power of
  * the share: it needs that many places there. Of several services the worst
--- a/src/state/pool.c
+++ b/src/state/pool.c
@@ -1,4 +1,4 @@
-/* pool.c - equal parts of a rate that several nodes lay together */
+/* pool.c - equal parts of a rate, pooled by several nodes */
 #include "state/pool.h"
 
 #include <stdlib.h>
--- a/src/state/pool.h
+++ b/src/state/pool.h
@@ -1,4 +1,4 @@
-/* pool.h - equal parts of a rate that several nodes lay together */
+/* pool.h - equal parts of a rate, pooled by several nodes */
 #ifndef FP_STATE_POOL_H
 #define FP_STATE_POOL_H
 
--- /dev/null
+++ b/test/directory_world.h
@@ -0,0 +1,460 @@
+/* directory_world.h - a directory against a store in memory, in trouble */
+#ifndef TEST_DIRECTORY_WORLD_H
+#define TEST_DIRECTORY_WORLD_H
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/log.h"
+#include "coordination/directory.h"
+#include "platform/platform.h"
+
+/* A store in memory that answers in the next round of the loop. */
+struct fake_registry {
+	struct fp_registry registry; /* first member */
+	struct fp_loop *loop;
+	struct item {
+		std::string value;
+		uint64_t revision;
+		uint64_t lease;
+	};
+	std::map<std::string, item> items;
+	std::map<uint64_t, bool> leases;
+	uint64_t revision = 10;
+	uint64_t next_lease = 100;
+	enum fp_status failing = FP_OK; /* of every call */
+	bool late_put = false; /* puts take effect and are not answered well */
+	uint64_t compacted = 0; /* watches from before get FP_EXHAUSTED */
+	std::map<std::string, int> calls;
+
+	struct pending {
+		fp_registry_done_fn done;
+		void *ctx;
+		enum fp_status status;
+		uint64_t revision;
+		uint64_t lease;
+		std::vector<std::pair<std::string, item>> items;
+		std::vector<bool> removed;
+	};
+	struct waiting {
+		std::string prefix;
+		uint64_t after;
+		fp_registry_done_fn done;
+		void *ctx;
+		int64_t end_us;
+	};
+	std::vector<waiting> watches;
+	std::vector<waiting> hung; /* watches that nothing reaches */
+	std::vector<std::pair<uint64_t, std::string>> removals;
+
+	static fake_registry *of(struct fp_registry *r)
+	{
+		return reinterpret_cast<fake_registry *>(r);
+	}
+
+	static void answer(void *ctx)
+	{
+		auto *p = static_cast<pending *>(ctx);
+		std::vector<struct fp_registry_item> list;
+		struct fp_registry_result r = {};
+
+		for (size_t i = 0; i < p->items.size(); i++) {
+			struct fp_registry_item it = {};
+
+			it.key = p->items[i].first.c_str();
+			it.value = reinterpret_cast<const uint8_t *>(
+				p->items[i].second.value.data());
+			it.value_bytes = p->items[i].second.value.size();
+			it.revision = p->items[i].second.revision;
+			it.removed = i < p->removed.size() && p->removed[i];
+			list.push_back(it);
+		}
+		r.status = p->status;
+		r.revision = p->revision;
+		r.lease = p->lease;
+		r.items = list.data();
+		r.n_items = list.size();
+		p->done(p->ctx, &r);
+		delete p;
+	}
+
+	pending *start(const char *what, fp_registry_done_fn done, void *ctx)
+	{
+		calls[what]++;
+		return new pending{ done, ctx, failing, revision, 0, {}, {} };
+	}
+
+	bool hang_watches = false; /* the caller's time for them runs out */
+	bool silent = false; /* answers are held back */
+	std::vector<pending *> held;
+
+	void send(pending *p)
+	{
+		if (silent)
+			held.push_back(p);
+		else
+			fp_loop_post(loop, answer, p);
+	}
+
+	/* The held calls end without an answer, as their time is over. */
+	void answer_held()
+	{
+		for (auto *p : held) {
+			p->status = FP_TIMEOUT;
+			fp_loop_post(loop, answer, p);
+		}
+		held.clear();
+	}
+
+	void write(const std::string &key, const std::string &value,
+		   uint64_t lease = 0)
+	{
+		items[key] = { value, ++revision, lease };
+		fire();
+	}
+
+	void remove(const std::string &key)
+	{
+		items.erase(key);
+		removals.push_back({ ++revision, key });
+		fire();
+	}
+
+	void end_lease(uint64_t lease)
+	{
+		std::vector<std::string> gone;
+
+		leases.erase(lease);
+		for (auto &i : items)
+			if (i.second.lease == lease)
+				gone.push_back(i.first);
+		for (auto &key : gone)
+			remove(key);
+	}
+
+	/* Answers watches that have something to tell. */
+	void fire()
+	{
+		std::vector<waiting> still;
+
+		for (auto &w : watches) {
+			pending p = {
+				w.done, w.ctx, FP_OK, revision, 0, {}, {}
+			};
+
+			collect(w.prefix, w.after, &p);
+			if (p.items.empty())
+				still.push_back(w);
+			else
+				send(new pending(p));
+		}
+		watches = still;
+	}
+
+	void collect(const std::string &prefix, uint64_t after, pending *p)
+	{
+		for (auto &i : items)
+			if (i.first.rfind(prefix, 0) == 0 &&
+			    i.second.revision > after) {
+				p->items.push_back(i);
+				p->removed.push_back(false);
+			}
+		for (auto &g : removals)
+			if (g.second.rfind(prefix, 0) == 0 && g.first > after &&
+			    !items.count(g.second)) {
+				p->items.push_back(
+					{ g.second, { "", g.first, 0 } });
+				p->removed.push_back(true);
+			}
+	}
+
+	/* Ends watches whose time is over. */
+	void expire()
+	{
+		int64_t now_us = fp_loop_now_us(loop);
+		auto end = [&](std::vector<waiting> &all, enum fp_status st) {
+			for (size_t i = 0; i < all.size();) {
+				if (all[i].end_us > now_us) {
+					i++;
+					continue;
+				}
+				send(new pending{ all[i].done,
+						  all[i].ctx,
+						  st,
+						  revision,
+						  0,
+						  {},
+						  {} });
+				all.erase(all.begin() + (long)i);
+			}
+		};
+
+		end(watches, FP_OK);
+		end(hung, FP_TIMEOUT);
+	}
+
+	/* Ends all waiting watches, as a store that is restarted does. */
+	void cut_watches()
+	{
+		std::vector<waiting> all;
+
+		all.swap(watches);
+		for (auto &w : all)
+			send(new pending{
+				w.done, w.ctx, FP_TIMEOUT, 0, 0, {}, {} });
+	}
+
+	static void get(struct fp_registry *r, const char *key,
+			fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry *f = of(r);
+		pending *p = f->start("get", done, ctx);
+		auto i = f->items.find(key);
+
+		if (p->status == FP_OK && i == f->items.end())
+			p->status = FP_NOT_FOUND;
+		else if (p->status == FP_OK)
+			p->items.push_back(*i);
+		f->send(p);
+	}
+
+	static void list(struct fp_registry *r, const char *prefix,
+			 fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry *f = of(r);
+		pending *p = f->start("list", done, ctx);
+
+		if (p->status == FP_OK)
+			for (auto &i : f->items)
+				if (i.first.rfind(prefix, 0) == 0)
+					p->items.push_back(i);
+		f->send(p);
+	}
+
+	static void watch(struct fp_registry *r, const char *prefix,
+			  uint64_t after, int64_t wait_us,
+			  fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry *f = of(r);
+		int64_t end_us = fp_loop_now_us(f->loop) + wait_us;
+
+		if (f->hang_watches) {
+			f->hung.push_back({ prefix, after, done, ctx,
+					    end_us + FP_US_PER_S });
+			return;
+		}
+		if (f->failing != FP_OK || after < f->compacted) {
+			pending *p = f->start("watch", done, ctx);
+
+			if (p->status == FP_OK)
+				p->status = FP_EXHAUSTED;
+			f->send(p);
+			return;
+		}
+		f->calls["watch"]++;
+		f->watches.push_back({ prefix, after, done, ctx, end_us });
+		f->fire();
+	}
+
+	static void put(struct fp_registry *r, const char *key,
+			const void *value, size_t bytes, uint64_t lease,
+			uint64_t expect, fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry *f = of(r);
+		pending *p = f->start("put", done, ctx);
+		uint64_t stands =
+			f->items.count(key) ? f->items[key].revision : 0;
+
+		if (p->status == FP_OK && lease && !f->leases.count(lease))
+			p->status = FP_NOT_FOUND;
+		else if (p->status == FP_OK && expect != FP_REGISTRY_ANY &&
+			 expect != stands)
+			p->status = FP_CONFLICT;
+		else if (p->status == FP_OK)
+			f->write(key,
+				 std::string(static_cast<const char *>(value),
+					     bytes),
+				 lease);
+		if (f->late_put && p->status == FP_OK)
+			p->status = FP_TIMEOUT;
+		f->send(p);
+	}
+
+	static void open_lease(struct fp_registry *r, int64_t ttl_us,
+			       fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry *f = of(r);
+		pending *p = f->start("open", done, ctx);
+
+		(void)ttl_us;
+		if (p->status == FP_OK) {
+			p->lease = f->next_lease++;
+			f->leases[p->lease] = true;
+		}
+		f->send(p);
+	}
+
+	static void keep_lease(struct fp_registry *r, uint64_t lease,
+			       fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry *f = of(r);
+		pending *p = f->start("keep", done, ctx);
+
+		if (p->status == FP_OK && !f->leases.count(lease))
+			p->status = FP_NOT_FOUND;
+		f->send(p);
+	}
+
+	static void end_lease_op(struct fp_registry *r, uint64_t lease,
+				 fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry *f = of(r);
+		pending *p = f->start("end", done, ctx);
+
+		f->end_lease(lease);
+		f->send(p);
+	}
+};
+
+class Directory : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		static const struct fp_registry_ops ops = {
+			fake_registry::get,	     fake_registry::list,
+			fake_registry::watch,	     fake_registry::put,
+			fake_registry::open_lease,   fake_registry::keep_lease,
+			fake_registry::end_lease_op, nullptr,
+		};
+		struct fp_directory_ops told = {};
+
+		fp_log_setup(FP_LOG_ERROR, 2);
+		fp_manual_clock_init(&clock, 1000000);
+		ASSERT_EQ(FP_OK, fp_loop_init(&clock.clock, &loop));
+		store.registry.ops = &ops;
+		store.loop = loop;
+		cfg.clock = &clock.clock;
+		cfg.registry = &store.registry;
+		cfg.dialect = &platform_dialect;
+		describe(&cfg.self, "n1", 1);
+		told.config = [](void *ctx, struct fp_config *c) {
+			auto *t = static_cast<Directory *>(ctx);
+
+			t->revisions.push_back(c->revision);
+			fp_config_end(c);
+		};
+		told.members = [](void *ctx, struct fp_member_table *m) {
+			auto *t = static_cast<Directory *>(ctx);
+
+			t->names.clear();
+			for (uint32_t i = 0; i < m->n; i++)
+				t->names[m->members[i].name] = m->members[i];
+			free(m);
+		};
+		told.secret = [](void *ctx, const uint8_t *secret) {
+			auto *t = static_cast<Directory *>(ctx);
+
+			t->secrets.emplace_back(
+				reinterpret_cast<const char *>(secret),
+				FP_DIRECTORY_SECRET_BYTES);
+		};
+		told.current = [](void *ctx, int64_t asked_us) {
+			static_cast<Directory *>(ctx)->current_us = asked_us;
+		};
+		told.send = [](void *ctx, const char *addr,
+			       const struct fp_msg_shared *m) {
+			static_cast<Directory *>(ctx)->sent.push_back(
+				{ addr, *m });
+		};
+		told.ctx = this;
+		ops_told = told;
+	}
+
+	void TearDown() override
+	{
+		fp_directory_close(d);
+		fp_directory_end(d);
+		fp_loop_end(loop);
+	}
+
+	static void describe(struct fp_member *m, const char *name, uint64_t id)
+	{
+		memset(m, 0, sizeof(*m));
+		m->id = id;
+		strcpy(m->name, name);
+		strcpy(m->peer_addr, "10.0.0.1:80");
+		strcpy(m->failure_domain, "a");
+		strcpy(m->region, "r");
+		strcpy(m->service, "rota");
+	}
+
+	static std::string other(const char *name, int id, bool serving)
+	{
+		return "{\"id\":" + std::to_string(id) + ",\"name\":\"" + name +
+		       "\",\"peer\":\"10.0.0.2:80\",\"domain\":\"a\","
+		       "\"region\":\"r\",\"service\":\"s\",\"slots\":4,"
+		       "\"serving\":" +
+		       (serving ? "true" : "false") + "}";
+	}
+
+	static std::string config(int version)
+	{
+		return "{\"version\":\"r" + std::to_string(version) +
+		       "\",\"routes\":{},\"tenants\":{}}";
+	}
+
+	void start()
+	{
+		d = fp_directory_init(loop, &cfg, &ops_told);
+		ASSERT_NE(nullptr, d);
+		run_ms(10);
+	}
+
+	/* Starts beside a second member, and lets it run for a while. */
+	void start_with_n2(int ms)
+	{
+		store.write("op/config", config(5));
+		store.write("fulmar/nodes/n2", other("n2", 2, true));
+		start();
+		run_ms(ms);
+	}
+
+	void run_ms(int ms)
+	{
+		for (int i = 0; i < ms; i++) {
+			store.expire();
+			for (int round = 0; round < 4; round++)
+				fp_loop_round(loop, 0);
+			fp_manual_clock_advance(&clock, 1000);
+		}
+	}
+
+	int total()
+	{
+		int n = 0;
+
+		for (auto &c : store.calls)
+			n += c.second;
+		return n;
+	}
+
+	struct fp_manual_clock clock;
+	struct fp_loop *loop = nullptr;
+	struct fake_registry store;
+	struct fp_directory_config cfg = {};
+	struct fp_directory_ops ops_told = {};
+	struct fp_directory *d = nullptr;
+	std::vector<uint64_t> revisions;
+	std::map<std::string, struct fp_member> names;
+	std::vector<std::string> secrets;
+	int64_t current_us = 0;
+	std::vector<std::pair<std::string, struct fp_msg_shared>> sent;
+};
+
+#endif
