An owner that answers late is asked again, not the next in rank

On links that lose packets an answer of a bucket's owner takes over 0.1 s now and then. The asker then skipped the owner for a second and asked the next in rank, which granted the parts of all that had skipped lately, while the owner granted the whole rate to the others.

Change: only an owner whose link is lost is passed over. Beside one that is slow a node spends its own equal part and asks again.

Ruled out: grants that come late (an answer after the ask was closed is dropped), the bucket's change of owner (no member came or went in that window).

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -10,9 +10,9 @@
  *	  the owner before have ended;
  *	- a node that the owner does not answer has an equal part of the rate
  *	  only, and an owner that lost the link to a member leaves its part out;
- *	- such nodes ask the next in rank that they reach, who is not the owner
- *	  in its own view, or not yet, and grants no more than the parts of those
- *	  that asked it lately (state/pool.h).
+ *	- a node that lost the link to the owner asks the next in rank, who is
+ *	  not the owner in its own view, or not yet, and grants no more than the
+ *	  parts of those that asked it lately (state/pool.h).
  */
 #include "node/owner.h"
 
@@ -78,7 +78,7 @@
 
 /* The highest in rank, or of those that can be asked. */
 static uint64_t highest(const struct fp_traffic *t, const char *org,
-			bool reached, uint64_t skipped)
+			bool reached)
 {
 	uint64_t seed = XXH3_64bits(org, strlen(org));
 	uint64_t best = 0;
@@ -93,7 +93,7 @@
 		if (id && rank <= best)
 			continue;
 		if (reached && m->id != t->node_id &&
-		    (m->id == skipped || is_lost(t->owner, m->peer_addr)))
+		    is_lost(t->owner, m->peer_addr))
 			continue;
 		best = rank;
 		id = m->id;
@@ -101,10 +101,9 @@
 	return id;
 }
 
-uint64_t owner_to_ask(const struct fp_traffic *t, const char *org,
-		      uint64_t skipped)
+uint64_t owner_to_ask(const struct fp_traffic *t, const char *org)
 {
-	return highest(t, org, true, skipped);
+	return highest(t, org, true);
 }
 
 static struct org_bucket *find(const struct owner *o, const char *org)
@@ -178,7 +177,7 @@
 	int i = fp_config_find_org(t->config, org);
 
 	return i >= 0 && t->config->orgs[i].rate_per_s &&
-	       highest(t, org, false, 0) == t->node_id;
+	       highest(t, org, false) == t->node_id;
 }
 
 static void bucket_end(struct org_bucket *b)
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -11,9 +11,8 @@
 void owner_update(struct fp_traffic *t);
 
 /** Returns the node that is asked for an organisation's tokens: the highest in
- *  rank that is not skipped and whose link is not lost; 0: none. */
-uint64_t owner_to_ask(const struct fp_traffic *t, const char *org,
-		      uint64_t skipped);
+ *  rank whose link is not lost; 0: none. */
+uint64_t owner_to_ask(const struct fp_traffic *t, const char *org);
 
 /** Sends an ask or a return to a node, which may be this one. */
 void owner_send(struct fp_traffic *t, uint64_t id,
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -9,8 +9,10 @@
  *
  * Where the store holds the members, the owner follows from them (owner.c), and
  * a node that it does not answer goes on with an equal part of the rate, which
- * the owner leaves out of the bucket for those that it has lost. It then asks
- * the next in rank, where such nodes pool their parts.
+ * the owner leaves out of the bucket for those that it has lost. When the link
+ * to the owner is lost it asks the next in rank, where such nodes pool their
+ * parts. An owner that is merely slow still grants the whole rate to the others,
+ * so beside it each node spends what it needs of its own part, and no more.
  */
 #include <inttypes.h>
 #include <stdlib.h>
@@ -28,9 +30,6 @@
 #define NO_OWNER_WAIT_US FP_US_PER_S
 #define ASK_AGAIN_US	 (20 * FP_US_PER_MS)
 #define MAX_WAITING	 1024u
-/* How long an owner that did not answer is skipped; by then its link shows
- * whether it is lost. */
-#define SKIP_US FP_US_PER_S
 /* After so long with an owner the equal part begins with a token. */
 #define SHARE_REST_US (2 * FP_US_PER_S)
 
@@ -50,8 +49,6 @@
 	uint64_t ask_id; /* of the open ask, 0: none */
 	int64_t asked_us;
 	uint64_t asked_id; /* who was asked, hosted only */
-	uint64_t skipped; /* who did not answer */
-	int64_t skipped_until_us;
 	bool exhausted; /* the owner's last word was an empty bucket */
 	bool filling; /* it was one that has not had the time to fill */
 };
@@ -160,9 +157,7 @@
 	fp_grants_asked(o->grants, now_us);
 	o->asked_us = now_us;
 	if (o->t->hosted)
-		o->asked_id = owner_to_ask(
-			o->t, o->org,
-			now_us < o->skipped_until_us ? o->skipped : 0);
+		o->asked_id = owner_to_ask(o->t, o->org);
 	o->ask_id = ++o->t->next_corr;
 	apr_hash_set(o->t->asks, &o->ask_id, sizeof(o->ask_id), o);
 	m.id = o->ask_id;
@@ -309,8 +304,6 @@
 			close_ask(o);
 			o->exhausted = false;
 			o->filling = false;
-			o->skipped = o->asked_id;
-			o->skipped_until_us = now_us + SKIP_US;
 			go_alone(o, now_us);
 			fp_grants_lost(o->grants, now_us);
 		}
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -727,4 +727,47 @@
 	EXPECT_LE(served, 1.1 * 3 * 75 + 20);
 }
 
+/*
+ * The owner is paused for 150 ms in each 250 ms, so that many asks have no
+ * answer in time though its link stands. It grants the whole rate still; what
+ * the others spend besides stays within the rate's allowance.
+ */
+TEST_F(Hosted, ARateHoldsBesideAnOwnerThatAnswersLate)
+{
+	std::atomic<bool> stop{ false };
+	std::atomic<int> ok{ 0 };
+	std::vector<std::thread> callers;
+	std::vector<std::pair<double, int>> at; /* seconds; answered well */
+
+	size_t owner = serve_four();
+	ASSERT_LT(owner, machines.size());
+	for (size_t i = 0; i < machines.size(); i++)
+		for (int k = 0; k < 4; k++)
+			callers.emplace_back([&, i] {
+				while (!stop) {
+					ok += call(*machines[i], "/deep/x")
+						      .status == 200;
+					usleep(2000);
+				}
+			});
+	usleep(2500000); /* the burst is spent */
+	auto began = std::chrono::steady_clock::now();
+	for (int i = 0; i < 24; i++) {
+		std::chrono::duration<double> since =
+			std::chrono::steady_clock::now() - began;
+		at.emplace_back(since.count(), ok);
+		fleet_process_signal(machines[owner]->node, SIGSTOP);
+		usleep(150000);
+		fleet_process_signal(machines[owner]->node, SIGCONT);
+		usleep(100000);
+	}
+	stop = true;
+	for (auto &t : callers)
+		t.join();
+	for (size_t i = 0; i + 12 < at.size(); i++)
+		EXPECT_LE(at[i + 12].second - at[i].second,
+			  (at[i + 12].first - at[i].first) * 100 * 1.1 + 20)
+			<< at[i].first << " s after the first pause";
+}
+
 } // namespace
