A request without a route has a line with its id; a line blames who refused

Cause: refusals before there is a call (no route, no configuration, unreadable path) were counted only, so a 404 could not be found by its id; a request that could not be read at all had no line. Lines of refusals for the rate or for a key named a service in blame= that had merely been looked at, and left_ms= of requests refused for their key was the time since the start of the clock, as their deadline was read after the key.

Change: a line for each, without the query, which may hold secrets; blame is set by an early refusal alone; the deadline is read before the key.

The case RefusesWhatTheRecordDoesNotAllow looks for the line and fails without it.

--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -5,6 +5,7 @@
  * header; a request that carries it anywhere else is refused, so no backend
  * server can come to see it.
  */
+#include <inttypes.h>
 #include <sodium.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -13,6 +14,7 @@
 #include <strings.h>
 #include <xxhash.h>
 
+#include "base/log.h"
 #include "node/call.h"
 #include "node/path.h"
 
@@ -154,8 +156,25 @@
 
 /* Refuses before there is a call. */
 static void refuse(struct fp_traffic *t, struct fp_http_exchange *x,
-		   enum fp_class cls, enum fp_reason why)
+		   const struct fp_http_request *r, enum fp_class cls,
+		   enum fp_reason why)
 {
+	const char *name = t->dialect->request_id;
+	const char *id = name ? header(r, name) : NULL;
+	const char *host = header(r, "Host");
+	char id_word[FP_LOG_WORD_BYTES];
+	char host_word[FP_LOG_WORD_BYTES];
+	char path_word[FP_LOG_WORD_BYTES];
+
+	fp_log_word(r->uri, path_word);
+	path_word[strcspn(path_word, "?")] =
+		'\0'; /* a query may hold secrets */
+	fp_log(FP_LOG_INFO, "refused",
+	       "id=%s host=%s path=%s outcome=not-run reason=%s "
+	       "config=%" PRIu64,
+	       fp_log_word(id ? id : "-", id_word),
+	       fp_log_word(host ? host : "-", host_word), path_word,
+	       fp_reason_name(why), t->config ? t->config->revision : 0);
 	answer_refuse(t, x, cls, FP_OUTCOME_NOT_RUN, why,
 		      fp_reason_http_status(why) == 503 ? FP_US_PER_S : 0);
 }
@@ -167,22 +186,22 @@
 	const struct fp_route *route;
 
 	if (!t->config) {
-		refuse(t, x, FP_CLASS_NORMAL, FP_REASON_NO_CONFIG);
+		refuse(t, x, r, FP_CLASS_NORMAL, FP_REASON_NO_CONFIG);
 		return NULL;
 	}
 	if (strlen(r->uri) >= FP_URI_BYTES ||
 	    strlen(r->method) >= FP_METHOD_BYTES) {
-		refuse(t, x, FP_CLASS_NORMAL, FP_REASON_TOO_LARGE);
+		refuse(t, x, r, FP_CLASS_NORMAL, FP_REASON_TOO_LARGE);
 		return NULL;
 	}
 	if (!fp_path_is_plain(r->uri)) {
-		refuse(t, x, FP_CLASS_NORMAL, FP_REASON_MALFORMED);
+		refuse(t, x, r, FP_CLASS_NORMAL, FP_REASON_MALFORMED);
 		return NULL;
 	}
 	route = fp_config_find_route(t->config, header(r, "Host"), r->method,
 				     r->uri);
 	if (!route)
-		refuse(t, x, FP_CLASS_NORMAL, FP_REASON_ROUTE_UNKNOWN);
+		refuse(t, x, r, FP_CLASS_NORMAL, FP_REASON_ROUTE_UNKNOWN);
 	return route;
 }
 
@@ -225,7 +244,7 @@
 
 	execution_context(parent, &up);
 	if (up.depth + 1 >= FP_MAX_DEPTH) {
-		refuse(t, x, up.cls, FP_REASON_CALL_UNKNOWN);
+		refuse(t, x, r, up.cls, FP_REASON_CALL_UNKNOWN);
 		return;
 	}
 	c = open_call(t, x, r, &route);
@@ -259,7 +278,7 @@
 
 	parent = parse_call_id(r, id) ? execution_find(t, id) : NULL;
 	if (!parent)
-		refuse(t, x, FP_CLASS_NORMAL, FP_REASON_CALL_UNKNOWN);
+		refuse(t, x, r, FP_CLASS_NORMAL, FP_REASON_CALL_UNKNOWN);
 	else
 		nested_call(t, x, r, parent);
 }
@@ -307,6 +326,7 @@
 	if (!c)
 		return;
 	c->msg.cls = route->cls;
+	set_deadline(c, r, c->started_us + route->deadline_ms * FP_US_PER_MS);
 	why = check_key(c, route, r);
 	if (why != FP_REASON_NONE) {
 		call_refuse(c, FP_OUTCOME_NOT_RUN, why,
@@ -316,7 +336,6 @@
 	}
 	c->msg.rank = fp_rank(c->msg.cls, route->cls);
 	randombytes_buf(c->msg.root, sizeof(c->msg.root));
-	set_deadline(c, r, c->started_us + route->deadline_ms * FP_US_PER_MS);
 	c->msg.fingerprint = fingerprint(c);
 	memcpy(c->msg.caller, t->settings->service, sizeof(c->msg.caller));
 	c->pot.left = route->max_workers ? route->max_workers - 1 :
--- a/src/node/limits.c
+++ b/src/node/limits.c
@@ -164,15 +164,19 @@
 {
 	struct fp_traffic *t = c->t;
 	uint64_t print = named_print(c);
+	const char *full = NULL;
 
 	if (t->isolated && c->org_index != UINT32_MAX)
 		return FP_REASON_ISOLATED;
 	if (t->settings->overload_off)
 		return FP_REASON_NONE;
-	if (shed_by_preset(c) ||
-	    fp_early_check(t->early, c->msg.route, c->msg.rank,
-			   randombytes_random(), now_us, &c->blame) != FP_OK)
+	if (shed_by_preset(c))
 		return FP_REASON_SHED_EARLY;
+	if (fp_early_check(t->early, c->msg.route, c->msg.rank,
+			   randombytes_random(), now_us, &full) != FP_OK) {
+		c->blame = full;
+		return FP_REASON_SHED_EARLY;
+	}
 	if (print &&
 	    fp_repeats_arrive(t->repeats, c->org_index, print, now_us) != FP_OK)
 		return FP_REASON_RETRY_LIMIT;
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -103,7 +103,7 @@
 {
 	struct fp_traffic *t = ctx;
 
-	(void)http_status;
+	fp_log(FP_LOG_INFO, "http_refused", "status=%d", http_status);
 	fp_counter_add(t->n.http_refused, 1);
 }
 
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -359,7 +359,11 @@
 	ASSERT_TRUE(wait([&] { return call(m, "/front/x").status == 200; }));
 	EXPECT_EQ(401, call(m, "/front/x", "k2").status);
 	EXPECT_EQ(401, call(m, "/front/x", "").status);
-	EXPECT_EQ(404, call(m, "/none/x").status);
+	EXPECT_EQ(404, call(m, "/none/x?key=k1").status);
+	EXPECT_TRUE(wait([&] {
+		return says(m, "host=h.example path=/none/x outcome=not-run "
+			       "reason=route-unknown config=1");
+	}));
 	/* What a caller says in these headers is not believed. */
 	call(m, "/front/x", "k1",
 	     { "Fulmarpass-Tenant: t2", "Fulmarpass-Caller-Service: x",
