Changes of members are gathered longer in a larger fleet

Cause: each change of any node's record ends the waiting watch of every node, so store calls grow with nodes times changes.

Change: after news the next watch waits 50 ms a member, 0.4 s to 2 s.

--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -18,9 +18,13 @@
 #include "coordination/directory_private.h"
 #include "protocol/json.h"
 
-#define NODES_PREFIX	 "fulmar/nodes/"
-#define OTHERS_WAIT_US	 (20 * FP_US_PER_S) /* below the store's 30 s */
-#define OTHERS_PAUSE_US	 (400 * FP_US_PER_MS) /* gathers changes of a moment */
+#define NODES_PREFIX   "fulmar/nodes/"
+#define OTHERS_WAIT_US (20 * FP_US_PER_S) /* below the store's 30 s */
+/* Changes are gathered for a time that grows with the fleet: each costs every
+ * node a call, and a larger fleet changes more often. */
+#define GATHER_MEMBER_US (50 * FP_US_PER_MS) /* a member */
+#define GATHER_MIN_US	 (400 * FP_US_PER_MS)
+#define GATHER_MAX_US	 (2 * FP_US_PER_S) /* a stopping node serves as long */
 #define LEASE_US	 (6 * FP_US_PER_S) /* three renewals may be lost */
 #define KEEP_US		 (1500 * FP_US_PER_MS)
 #define GONE_US		 (2500 * FP_US_PER_MS) /* a live node needs 2 s */
@@ -324,6 +328,18 @@
 	return wait_us;
 }
 
+static int64_t gather_us(const struct fp_directory *d)
+{
+	const struct directory_record *rec;
+	int64_t us = 0;
+
+	for (rec = d->records; rec; rec = rec->next)
+		us += GATHER_MEMBER_US;
+	if (us < GATHER_MIN_US)
+		return GATHER_MIN_US;
+	return us < GATHER_MAX_US ? us : GATHER_MAX_US;
+}
+
 static void on_others(void *ctx, const struct fp_registry_result *r)
 {
 	struct fp_directory *d = ctx;
@@ -357,7 +373,7 @@
 	d->others_after = r->revision;
 	if (changed)
 		publish(d);
-	directory_run_after(&d->others, OTHERS_PAUSE_US);
+	directory_run_after(&d->others, gather_us(d));
 }
 
 void directory_step_others(struct fp_directory *d)
