The proof of a record comes after the record, on the same way

A node that the store had turned away for 6.5 s read a newer record: the record went to the traffic thread as posted work, the proof of it as an atomic store that is seen at once. Requests handled in between were checked by the old record under the new proof.

Change: the proof is posted behind the record.

--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -7,7 +7,6 @@
  */
 #include <inttypes.h>
 #include <sodium.h>
-#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -75,7 +74,7 @@
 /* Whether a key that was withdrawn would be known to be by now. */
 static bool keys_are_current(const struct fp_traffic *t)
 {
-	int64_t at_us = atomic_load(&t->current_us);
+	int64_t at_us = t->current_us;
 
 	if (!t->hosted)
 		return true;
--- a/src/node/handover.c
+++ b/src/node/handover.c
@@ -4,7 +4,6 @@
  * Each value is copied or given away, and taken over as posted work.
  */
 #include <sodium.h>
-#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -301,9 +300,30 @@
 	post(t, take_members, m);
 }
 
+struct handed_proof {
+	int64_t asked_us;
+};
+
+static void take_current(void *ctx)
+{
+	struct handed *h = ctx;
+	struct handed_proof *k = h->value;
+
+	h->t->current_us = k->asked_us;
+	free(k);
+	free(h);
+}
+
+/* In the order of fp_traffic_set_config: a proof without its record would let
+ * keys work that the record takes away. */
 void fp_traffic_set_current(struct fp_traffic *t, int64_t asked_us)
 {
-	atomic_store(&t->current_us, asked_us);
+	struct handed_proof *k = malloc(sizeof(*k));
+
+	if (!k)
+		abort();
+	k->asked_us = asked_us;
+	post(t, take_current, k);
 }
 
 void fp_traffic_set_secrets(struct fp_traffic *t, const struct fp_settings *s)
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -107,7 +107,7 @@
 	bool worker_gone; /* it has said farewell */
 	bool has_secret; /* links to others can be made */
 	bool isolated; /* cut off: keys cannot be trusted */
-	_Atomic int64_t current_us; /* the record was current; 0: not told */
+	int64_t current_us; /* the record was current; 0: not told */
 	struct fp_clock *clock;
 	struct fp_worker worker;
 	int64_t announced_us; /* last announcement */
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -624,6 +624,58 @@
 	EXPECT_GT(refused_after_ms(), 2500);
 }
 
+/*
+ * A key is withdrawn while the store is silent to a node. When the store is back
+ * the node has proof of the newer record only, at the very first request.
+ */
+TEST_F(Hosted, AProofComesWithItsRecordAndNeverBefore)
+{
+	std::atomic<bool> stop{ false };
+	std::atomic<int> ran{ 0 };
+	std::vector<std::thread> callers;
+	char path[512];
+	int version = 1;
+
+	serve();
+	Machine &m = *machines[0];
+	std::string text = settings[m.id];
+	text.replace(text.find("revoke = \"5s\""), strlen("revoke = \"5s\""),
+		     "revoke = \"2s\"");
+	EXPECT_TRUE(fleet_write_file(f, (m.id + ".toml").c_str(), text.c_str(),
+				     path, sizeof(path)));
+	fleet_process_signal(m.node, SIGHUP);
+	ASSERT_TRUE(wait([&] { return says(m, "revoke_ms=2000"); }));
+	for (int round = 0; round < 6; round++) {
+		std::string key = "k" + std::to_string(round);
+
+		write_config(++version, "\"" + key + "\"");
+		ASSERT_TRUE(wait([&] {
+			return call(m, "/front/x", key).status == 200;
+		}));
+		platform_store_set(store, PLATFORM_SILENT);
+		ASSERT_TRUE(wait([&] {
+			return call(m, "/front/x", key).status == 503;
+		}));
+		write_config(++version, "\"none\"");
+		stop = false;
+		for (int i = 0; i < 16; i++)
+			callers.emplace_back([&, key] {
+				while (!stop)
+					ran += call(m, "/front/x", key)
+						       .status == 200;
+			});
+		platform_store_set(store, PLATFORM_WELL);
+		EXPECT_TRUE(wait([&] {
+			return call(m, "/front/x", key).status == 401;
+		}));
+		stop = true;
+		for (auto &t : callers)
+			t.join();
+		callers.clear();
+	}
+	EXPECT_EQ(0, ran);
+}
+
 TEST_F(Hosted, ARateHoldsOverBothNodes)
 {
 	serve();
