An empty text in a message is read without its pointer

Only the record of news of members may be empty. Change: an empty text is not looked into. The case fails before and passes after, with the sanitizer.

--- a/src/protocol/msg_shared.c
+++ b/src/protocol/msg_shared.c
@@ -226,13 +226,16 @@
 		fail(c, "field is not a string");
 		return;
 	}
-	if (o.via.str.size < least || o.via.str.size >= size ||
-	    memchr(o.via.str.ptr, '\0', o.via.str.size)) {
+	len = o.via.str.size;
+	/* The library's pointer to an empty text may be NULL. */
+	if (len < least || len >= size ||
+	    (len && memchr(o.via.str.ptr, '\0', len))) {
 		fail(c, "text has another length or a zero in it");
 		return;
 	}
-	memcpy(text, o.via.str.ptr, o.via.str.size);
-	text[o.via.str.size] = '\0';
+	if (len)
+		memcpy(text, o.via.str.ptr, len);
+	text[len] = '\0';
 }
 
 static void code_name(struct coder *c, char name[FP_NAME_BYTES])
