--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -61,7 +61,11 @@
 		       const struct fp_admission_level *level)
 {
 	struct fp_touch self = { .calls = 1 };
+	uint64_t used = level->running + (uint64_t)level->queued;
 
+	self.used_permille = 1000;
+	if (used < level->limit)
+		self.used_permille = (uint16_t)(used * 1000 / level->limit);
 	memcpy(self.service, e->msg.service, sizeof(self.service));
 	memcpy(self.refused_permille, level->refused_permille,
 	       sizeof(self.refused_permille));
@@ -190,6 +194,8 @@
 	for (c = 0; c < FP_RANK_COUNT; c++)
 		if (from->refused_permille[c] > to->refused_permille[c])
 			to->refused_permille[c] = from->refused_permille[c];
+	if (from->used_permille > to->used_permille)
+		to->used_permille = from->used_permille;
 }
 
 void execution_touched(struct execution *e, const struct fp_touch *touched,
--- a/src/node/limits.c
+++ b/src/node/limits.c
@@ -267,8 +267,7 @@
 	uint32_t i;
 
 	for (i = 0; i < r->n_touched; i++)
-		fp_early_level(t->early, r->touched[i].service, c->worker,
-			       r->touched[i].refused_permille, now_us);
+		fp_early_level(t->early, c->worker, &r->touched[i], now_us);
 	if (!c->msg.nested && r->reason == FP_REASON_NONE)
 		fp_early_learn(t->early, c->msg.route, r->touched, r->n_touched,
 			       now_us);
--- a/src/protocol/msg_call.c
+++ b/src/protocol/msg_call.c
@@ -9,7 +9,7 @@
 #define REPLY_FIELDS  11
 #define CANCEL_FIELDS 2
 #define LEVEL_FIELDS  (4 + FP_RANK_COUNT)
-#define TOUCH_FIELDS  (2 + FP_RANK_COUNT)
+#define TOUCH_FIELDS  (3 + FP_RANK_COUNT)
 
 #define HEADER_NAME_BYTES  256
 #define HEADER_VALUE_BYTES 16384
@@ -85,6 +85,7 @@
 	msgpack_pack_uint16(pk, t->calls);
 	for (c = 0; c < FP_RANK_COUNT; c++)
 		msgpack_pack_uint16(pk, t->refused_permille[c]);
+	msgpack_pack_uint16(pk, t->used_permille);
 }
 
 void fp_msg_reply_encode(const struct fp_msg_reply *m, msgpack_sbuffer *out)
@@ -216,6 +217,7 @@
 		t->calls = (uint16_t)fp_read_u64(r, UINT16_MAX);
 		for (c = 0; c < FP_RANK_COUNT; c++)
 			t->refused_permille[c] = (uint16_t)fp_read_u64(r, 1000);
+		t->used_permille = (uint16_t)fp_read_u64(r, 1000);
 	}
 }
 
--- a/src/state/early.c
+++ b/src/state/early.c
@@ -14,7 +14,8 @@
  * their shares over a second, and a control on a signal that late would be slow
  * or swing; so the trend is added again, which leaves a lag of LEAD_S. A share
  * that merely equals what is refused needs no memory, but then much of what
- * should go still enters; docs/DESIGN-load.md has both.
+ * should go still enters; docs/DESIGN-load.md has both. Where the workers have
+ * places free the share grows at least as fast as would fill them.
  *
  * A root that calls a service k times on average passes with the k-th power of
  * the share: it needs that many places there. Of several services the worst
@@ -48,6 +49,9 @@
 #define LEAD_S	     0.15 /* lag that is left of it */
 #define SHRINK_S     0.5 /* time constant of shrinking */
 #define GROW_CUBIC   0.5 /* growth of the logarithm by the cube of seconds */
+#define ROOM_USED    0.7 /* part of the places that growth fills at once */
+#define ROOM_S	     0.5 /* time constant of filling them */
+#define USED_MIN     0.05 /* less is taken for this */
 #define PASS_MIN     0.005 /* passes always, so that the end is seen */
 #define CALLS_WEIGHT 8 /* smoothing of the calls of a route, in answers */
 #define CALLS_MIN    0.01 /* fewer mean calls are forgotten */
@@ -57,6 +61,7 @@
 	uint64_t id;
 	int64_t heard_us;
 	uint16_t refused_permille[FP_RANK_COUNT];
+	uint16_t used_permille;
 };
 
 struct service {
@@ -138,7 +143,7 @@
 	}
 	memset(s, 0, sizeof(*s));
 	s->hash = hash;
-	strncpy(s->name, name, FP_NAME_BYTES - 1);
+	memcpy(s->name, name, strnlen(name, FP_NAME_BYTES - 1));
 	s->stepped_us = now_us;
 	for (i = 0; i < FP_RANK_COUNT; i++) {
 		s->pass[i] = 1;
@@ -180,6 +185,22 @@
 	return n ? sum / 1000.0 / n : 0;
 }
 
+/* Mean part of the places that is used, of the workers heard of lately, 0..1. */
+static double used_part(const struct service *s, int64_t now_us)
+{
+	uint32_t sum = 0;
+	uint32_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < s->n_workers; i++) {
+		if (now_us - s->workers[i].heard_us > LEVEL_US)
+			continue;
+		sum += s->workers[i].used_permille;
+		n++;
+	}
+	return n ? sum / 1000.0 / n : 1;
+}
+
 static void shrink(struct service *s, int cls, double above, double step_s)
 {
 	if (s->quiet_s[cls] > 0)
@@ -188,8 +209,10 @@
 	s->pass[cls] *= exp(-above * step_s / SHRINK_S);
 }
 
-static void grow(struct service *s, int cls, double step_s)
+static void grow(struct service *s, int cls, double used, double step_s)
 {
+	double filling = log(ROOM_USED / fmax(used, USED_MIN)) / ROOM_S;
+	double filled = s->pass[cls] * exp(filling * step_s);
 	double to_peak_s;
 	double t;
 
@@ -198,19 +221,19 @@
 	s->quiet_s[cls] += step_s;
 	to_peak_s = cbrt((s->peak[cls] - s->low[cls]) / GROW_CUBIC);
 	t = s->quiet_s[cls] - to_peak_s;
-	s->pass[cls] = exp(s->peak[cls] + GROW_CUBIC * t * t * t);
+	s->pass[cls] = fmax(filled, exp(s->peak[cls] + GROW_CUBIC * t * t * t));
 }
 
 /* Moves the passing share of a class; room is that of the class above it. */
-static void step_pass(struct service *s, int cls, double refused, double room,
-		      double step_s)
+static void step_pass(struct service *s, int cls, double refused, double used,
+		      double room, double step_s)
 {
 	double above = refused - REFUSED_AIM;
 
 	if (above > 0)
 		shrink(s, cls, above, step_s);
 	else
-		grow(s, cls, -above / REFUSED_AIM * step_s);
+		grow(s, cls, used, -above / REFUSED_AIM * step_s);
 	s->pass[cls] = fmin(room, fmax(PASS_MIN, s->pass[cls]));
 }
 
@@ -229,6 +252,7 @@
 static void step_service(struct service *s, int64_t now_us)
 {
 	int64_t step_us = now_us - s->stepped_us;
+	double used = used_part(s, now_us);
 	double refused;
 	double room = 1;
 	double step_s;
@@ -242,25 +266,25 @@
 	s->stepped_us = now_us;
 	for (i = 0; i < FP_RANK_COUNT; i++) {
 		refused = refused_now(s, i, step_s, now_us);
-		step_pass(s, i, refused, room, step_s);
+		step_pass(s, i, refused, used, room, step_s);
 		room = s->pass[i];
 	}
 }
 
-void fp_early_level(struct fp_early *e, const char *service, uint64_t worker,
-		    const uint16_t refused_permille[FP_RANK_COUNT],
-		    int64_t now_us)
+void fp_early_level(struct fp_early *e, uint64_t worker,
+		    const struct fp_touch *level, int64_t now_us)
 {
-	uint64_t hash = hash_name(service);
+	uint64_t hash = hash_name(level->service);
 	struct service *s = find_service(e, hash);
 	struct worker_level *w;
 
 	if (!s)
-		s = add_service(e, service, hash, now_us);
+		s = add_service(e, level->service, hash, now_us);
 	step_service(s, now_us);
 	w = find_worker(s, worker);
-	memcpy(w->refused_permille, refused_permille,
+	memcpy(w->refused_permille, level->refused_permille,
 	       sizeof(w->refused_permille));
+	w->used_permille = level->used_permille;
 	w->heard_us = now_us;
 	s->heard_us = now_us;
 }
--- a/src/state/early.h
+++ b/src/state/early.h
@@ -23,6 +23,8 @@
 	uint16_t calls;
 	/** What that service refuses lately, as seen where it was called. */
 	uint16_t refused_permille[FP_RANK_COUNT];
+	/** Part of its worker's places that is taken or waited for; 1000: all. */
+	uint16_t used_permille;
 };
 
 struct fp_early *fp_early_init(void);
@@ -32,14 +34,13 @@
 		    const struct fp_touch *touched, uint32_t n, int64_t now_us);
 
 /**
- * Takes the newest refusal shares of one worker of a service.
+ * Takes the newest load of a service as one worker tells it.
  *
- * @param worker            id of the worker
- * @param refused_permille  by rank, as in fp_admission_level
+ * @param worker  id of the worker whose answer told it
+ * @param level   its calls are not looked at
  */
-void fp_early_level(struct fp_early *e, const char *service, uint64_t worker,
-		    const uint16_t refused_permille[FP_RANK_COUNT],
-		    int64_t now_us);
+void fp_early_level(struct fp_early *e, uint64_t worker,
+		    const struct fp_touch *level, int64_t now_us);
 
 /**
  * Decides whether a root may enter.
