A line and a counter of what an organisation spent and was granted

rate_spent and rate_granted say both, one line an organisation and second where there was anything; fulmar_rate_spent_total counts the same.

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -27,6 +27,8 @@
 
 /* How often the link to a lost member is tried again. */
 #define REDIAL_US (500 * FP_US_PER_MS)
+/* Between two lines of what a bucket granted. */
+#define REPORT_US FP_US_PER_S
 /* How long an empty bucket of a new owner does not speak of its organisation's
  * use; half of this is the wait for grants of the owner before. */
 #define WARM_US (2 * FP_GRANT_OWNER_US)
@@ -39,6 +41,9 @@
 	bool ours; /* this node ranks highest */
 	int64_t whole_us; /* from here on, if ours, it has the whole rate */
 	int64_t warm_us; /* from here on an empty bucket was emptied */
+	uint32_t granted; /* tokens, since the last line */
+	uint32_t refused; /* asks, since then */
+	int64_t reported_us; /* when grants had their last line */
 	struct org_bucket *next;
 };
 
@@ -156,6 +161,7 @@
 	if (!b->bucket || !b->pool)
 		abort();
 	memcpy(b->org, org, strlen(org) + 1);
+	b->reported_us = now_us;
 	b->next = t->owner->buckets;
 	t->owner->buckets = b;
 	return b;
@@ -278,6 +284,10 @@
 		return; /* parts below one a second are spent where they are */
 	a->status = fp_bucket_grant(b->bucket, ask->want, now_us, &a->grant_id,
 				    &a->tokens, &a->wait_us);
+	if (a->status == FP_OK)
+		b->granted += a->tokens;
+	else
+		b->refused++;
 	/* Only of a whole bucket it can be said that its rate is used up. */
 	if (a->status == FP_EXHAUSTED && (!b->ours || now_us < b->warm_us))
 		a->status = FP_AGAIN;
@@ -386,11 +396,35 @@
 	owner_update(t);
 }
 
+static void report_grants(struct fp_traffic *t)
+{
+	int64_t now_us = fresh_now_us(t);
+	struct org_bucket *b;
+
+	for (b = t->owner->buckets; b; b = b->next) {
+		if (now_us - b->reported_us < REPORT_US)
+			continue;
+		if (b->granted || b->refused)
+			fp_log(FP_LOG_INFO, "rate_granted",
+			       "org=%s tokens=%u refused_asks=%u rate=%u "
+			       "span_ms=%" PRId64
+			       " ours=%d parts=%u members=%u",
+			       b->org, b->granted, b->refused, b->rate_per_s,
+			       (now_us - b->reported_us) / FP_US_PER_MS,
+			       b->ours, fp_pool_parts(b->pool, now_us),
+			       t->members ? t->members->n : 0);
+		b->granted = 0;
+		b->refused = 0;
+		b->reported_us = now_us;
+	}
+}
+
 void owner_tick(struct fp_traffic *t, int64_t now_us)
 {
 	struct fp_peer_link *link;
 	struct lost_member *l;
 
+	report_grants(t);
 	if (!t->owner->lost || now_us - t->owner->dialed_us < REDIAL_US)
 		return;
 	t->owner->dialed_us = now_us;
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -15,6 +15,7 @@
  * so beside it each node spends what it needs of its own part, and no more.
  */
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -32,6 +33,8 @@
 #define MAX_WAITING	 1024u
 /* After so long with an owner the equal part begins with a token. */
 #define SHARE_REST_US (2 * FP_US_PER_S)
+/* Between two lines of what an organisation spent. */
+#define REPORT_US FP_US_PER_S
 
 /** One organisation's tokens and the calls that wait for one. */
 struct org_tokens {
@@ -51,6 +54,13 @@
 	uint64_t asked_id; /* who was asked, hosted only */
 	bool exhausted; /* the owner's last word was an empty bucket */
 	bool filling; /* it was one that has not had the time to fill */
+	struct spending {
+		uint32_t granted; /* since the last line, by an owner's grant */
+		uint32_t part; /* out of the equal part */
+		struct fp_counter *granted_total;
+		struct fp_counter *part_total;
+	} spent;
+	int64_t reported_us; /* when spending had its last line */
 };
 
 static int64_t fresh_now_us(const struct fp_traffic *t)
@@ -79,6 +89,16 @@
 			   cfg->orgs[i].burst * percent / 100);
 }
 
+static struct fp_counter *spent_counter(struct fp_traffic *t, const char *org,
+					const char *source)
+{
+	char labels[FP_NAME_BYTES + 64];
+
+	snprintf(labels, sizeof(labels), "organisation=\"%s\",source=\"%s\"",
+		 org, source);
+	return fp_counter_get(t->counters, "fulmar_rate_spent_total", labels);
+}
+
 static struct org_tokens *find(struct fp_traffic *t, const char *org)
 {
 	struct org_tokens *o =
@@ -97,6 +117,9 @@
 	apr_hash_set(t->tokens, o->org, APR_HASH_KEY_STRING, o);
 	o->next = t->all_tokens;
 	t->all_tokens = o;
+	o->spent.granted_total = spent_counter(t, org, "grant");
+	o->spent.part_total = spent_counter(t, org, "part");
+	o->reported_us = fresh_now_us(t);
 	set_rate(o);
 	return o;
 }
@@ -178,9 +201,33 @@
 
 static enum fp_status take_one(struct org_tokens *o, int64_t now_us)
 {
-	if (fp_grants_take(o->grants, now_us) == FP_OK)
+	if (fp_grants_take(o->grants, now_us) == FP_OK) {
+		o->spent.granted++;
+		fp_counter_add(o->spent.granted_total, 1);
 		return FP_OK;
-	return o->alone ? fp_share_take(&o->share, now_us) : FP_AGAIN;
+	}
+	if (!o->alone || fp_share_take(&o->share, now_us) != FP_OK)
+		return FP_AGAIN;
+	o->spent.part++;
+	fp_counter_add(o->spent.part_total, 1);
+	return FP_OK;
+}
+
+/* So that the lines of all nodes add up to what an organisation got. */
+static void report_spending(struct org_tokens *o, int64_t now_us)
+{
+	if (now_us - o->reported_us < REPORT_US)
+		return;
+	if (o->spent.granted || o->spent.part)
+		fp_log(FP_LOG_INFO, "rate_spent",
+		       "org=%s granted=%u part=%u span_ms=%" PRId64
+		       " owner=%016" PRIx64 " parts=%u",
+		       o->org, o->spent.granted, o->spent.part,
+		       (now_us - o->reported_us) / FP_US_PER_MS, o->asked_id,
+		       o->share.parts);
+	o->spent.granted = 0;
+	o->spent.part = 0;
+	o->reported_us = now_us;
 }
 
 /* Nobody answered, or one who is not or not yet the owner. */
@@ -310,6 +357,7 @@
 		if (!o->ask_id || !o->exhausted)
 			refuse_hopeless(o, now_us, 0);
 		pump(o);
+		report_spending(o, now_us);
 	}
 }
 
