A failing test: a rate is granted twice while the store turns its owner away

Four hosted nodes and the store stand-in, which now has doors with trouble of their own, so that it turns one node away and serves the others. The owner of the bucket is turned away, its record lapses after 6 s, the links between the nodes stand and the organisation presses everywhere. 9 s later a second node owns the bucket and both grant the whole rate: 200 and 300 a second of 100. The fixture of hosted nodes moved to e2e_hosted.h.

--- /dev/null
+++ b/test/e2e_hosted.h
@@ -0,0 +1,347 @@
+/*
+ * e2e_hosted.h - real hosted nodes against a stand-in of the platform
+ *
+ * Two nodes beside a server of "front" and one of "deep", and more machines
+ * where a case needs them. Each reaches the store by a door of its own.
+ */
+#ifndef FP_TEST_E2E_HOSTED_H
+#define FP_TEST_E2E_HOSTED_H
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cstring>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "standin/lib_fleet.h"
+#include "standin/lib_http.h"
+#include "standin/lib_platform.h"
+
+namespace hosted
+{
+
+struct Result {
+	long status = 0;
+	std::string body, signature, outcome, retry_after;
+	int64_t latency_us = 0;
+};
+
+/* One machine: a node, and a server beside it. */
+struct Machine {
+	std::string ip, service, id;
+	struct fleet_process *node = nullptr;
+	struct platform_server *server = nullptr;
+	struct platform_door *door = nullptr; /* to the store */
+	std::string outbound, control;
+};
+
+class Hosted : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		f = fleet_init();
+		ASSERT_NE(nullptr, f);
+		net = "127." + std::to_string(100 + getpid() % 150) + "." +
+		      std::to_string(getpid() / 150 % 250 + 1) + ".";
+		store = platform_store_init((net + "1:8500").c_str());
+		ASSERT_NE(nullptr, store);
+	}
+
+	void TearDown() override
+	{
+		if (HasFailure())
+			fleet_print_logs(f);
+		beating = false;
+		if (beats.joinable())
+			beats.join();
+		for (auto &m : machines) {
+			platform_server_end(m->server);
+			platform_door_end(m->door);
+		}
+		platform_store_end(store);
+		fleet_end(f);
+	}
+
+	/* Starts a machine; the server announces itself from then on. */
+	Machine &add(const std::string &service, int run_ms = 5,
+		     bool drop = false, const char *inner_host = nullptr)
+	{
+		auto m = std::make_unique<Machine>();
+		int n = (int)machines.size() + 2;
+		char path[512];
+
+		m->ip = net + std::to_string(n);
+		m->service = service;
+		m->id = "i-" + std::to_string(n);
+		m->outbound = "http://" + m->ip + ":8001";
+		m->control = m->ip + ":8003";
+		std::string door = net + "1:" + std::to_string(8500 + n);
+		m->door = platform_door_init(store, door.c_str());
+		EXPECT_NE(nullptr, m->door);
+		std::string text =
+			"[node]\nname = \"n" + std::to_string(n) +
+			"\"\naddress = \"" + m->ip +
+			"\"\nfailure_domain = \"d" +
+			std::to_string(n % n_domains) +
+			"\"\nregion = \"r\"\nservice = \"" + service +
+			"\"\n[listen]\nhttp_port = \"" + m->ip +
+			":8001\"\npeer_port = 8002\nlocal_port = 8003\n"
+			"local_address = \"" +
+			m->ip +
+			"\"\nready_port = 8004\nadmin_port = 8005\n"
+			"control_port = 8006\n[backend]\naddress = \"" +
+			m->ip +
+			":9000\"\n[store]\nkind = \"leases\"\n"
+			"url = \"http://" +
+			door +
+			"\"\n"
+			"timeout_ms = 500\n[bounds]\nrevoke = \"5s\"\n"
+			"grace = \"6s\"\nretry_ratio = \"0.2\"\n"
+			"retry_floor = 50\n";
+		settings[m->id] = text;
+		EXPECT_TRUE(fleet_write_file(f, (m->id + ".toml").c_str(),
+					     text.c_str(), path, sizeof(path)));
+		const char *args[] = { "node", "--settings", path, nullptr };
+		m->node = fleet_start(f, "fulmarpass", args);
+		EXPECT_NE(nullptr, m->node);
+		keep_server(*m, run_ms, drop, inner_host);
+		machines.push_back(std::move(m));
+		return *machines.back();
+	}
+
+	void keep_server(Machine &m, int run_ms, bool drop,
+			 const char *inner_host)
+	{
+		struct platform_server_opts o = {};
+
+		texts.push_back(m.ip + ":9000");
+		o.address = texts.back().c_str();
+		o.control = m.control.c_str();
+		o.service = m.service.c_str();
+		o.id = m.id.c_str();
+		o.born_ms = 1000;
+		o.run_ms = run_ms;
+		o.drop = drop;
+		if (inner_host) {
+			texts.push_back(m.outbound + "/inner/x");
+			o.inner_url = texts.back().c_str();
+			o.inner_host = inner_host;
+		}
+		m.server = platform_server_init(&o);
+		EXPECT_NE(nullptr, m.server);
+	}
+
+	static std::string config(int version,
+				  const std::string &keys = "\"k1\"")
+	{
+		auto route = [](const char *name, const char *prefix,
+				const char *kind, const char *service,
+				bool open) {
+			return std::string("\"") + name +
+			       "\":{\"hostname\":\"h.example\",\"pathPrefix\":"
+			       "\"" +
+			       prefix + "\",\"kind\":\"" + kind +
+			       "\",\"timeout\":\"1500ms\",\"targetLatency\":"
+			       "\"500ms\",\"priority\":1,\"service\":\"" +
+			       service + "\",\"maxAttempts\":2,\"public\":" +
+			       (open ? "true" : "false") + "}";
+		};
+
+		return "{\"version\":\"r" + std::to_string(version) +
+		       "\",\"routes\":{" +
+		       route("ra", "/front/", "safe", "front", false) + "," +
+		       route("rb", "/deep/", "safe", "deep", false) + "," +
+		       route("rc", "/order/", "unsafe", "deep", false) + "," +
+		       route("rd", "/inner/", "safe", "deep", true) +
+		       "},\"services\":{},\"limits\":{},\"tenants\":{\"t1\":{"
+		       "\"apiKeys\":[" +
+		       keys +
+		       "],\"priority\":1,"
+		       "\"ratePerS\":100,\"burst\":100}}}";
+	}
+
+	void write_config(int version, const std::string &keys = "\"k1\"")
+	{
+		platform_store_write(store, "op/config",
+				     config(version, keys).c_str());
+	}
+
+	/* All servers but those that left announce themselves. */
+	void begin_beats()
+	{
+		beats = std::thread([this] {
+			while (beating) {
+				for (size_t i = 0; i < machines.size(); i++)
+					if (!left[machines[i]->id])
+						platform_server_announce(
+							machines[i]->server,
+							"ready");
+				usleep(300000);
+			}
+		});
+	}
+
+	Result call(Machine &m, const std::string &path,
+		    const std::string &key = "k1",
+		    std::vector<std::string> more = {})
+	{
+		static std::atomic<int> n{ 0 };
+		std::vector<const char *> headers;
+		std::string url = m.outbound + path;
+		struct http_request req = {};
+		struct http_answer a;
+		char text[256];
+		Result r;
+
+		more.push_back("Host: h.example");
+		more.push_back("Fulmarpass-Deadline-Ms: 3000");
+		more.push_back("Fulmarpass-Request-Id: req" +
+			       std::to_string(++n));
+		if (!key.empty())
+			more.push_back("Fulmarpass-Key: " + key);
+		for (auto &h : more)
+			headers.push_back(h.c_str());
+		headers.push_back(nullptr);
+		req.method = path.rfind("/order", 0) == 0 ? "POST" : "GET";
+		req.url = url.c_str();
+		req.headers = headers.data();
+		r.status = http_call(&req, &a);
+		r.latency_us = a.latency_us;
+		if (r.status) {
+			r.body.assign(a.body, a.body_bytes);
+			http_answer_header(&a, "Fulmarpass-Response-Signature",
+					   text, sizeof(text));
+			r.signature = text;
+			http_answer_header(&a, "Fulmar-Outcome", text,
+					   sizeof(text));
+			r.outcome = text;
+			http_answer_header(&a, "Retry-After", text,
+					   sizeof(text));
+			r.retry_after = text;
+		}
+		http_answer_end(&a);
+		return r;
+	}
+
+	long ready(Machine &m)
+	{
+		std::string url = "http://" + m.ip + ":8004/ready";
+		struct http_request req = {};
+		struct http_answer a;
+
+		req.url = url.c_str();
+		req.timeout_ms = 500;
+		long status = http_call(&req, &a);
+		http_answer_end(&a);
+		return status;
+	}
+
+	static bool wait(const std::function<bool()> &done, int ms = 5000)
+	{
+		for (int i = 0; i < ms / 5; i++) {
+			if (done())
+				return true;
+			usleep(5000);
+		}
+		return done();
+	}
+
+	/* Two machines that serve. */
+	void serve(bool drop = false, int run_ms = 5)
+	{
+		write_config(1);
+		add("front");
+		add("deep", run_ms, drop);
+		begin_beats();
+		ASSERT_TRUE(wait([&] {
+			return ready(*machines[0]) == 200 &&
+			       ready(*machines[1]) == 200;
+		}));
+		if (!drop) {
+			ASSERT_TRUE(wait([&] {
+				return call(*machines[0], "/deep/x").status ==
+				       200;
+			}));
+		}
+	}
+
+	/* How often a node's log holds the text. */
+	static int count(Machine &m, const char *what)
+	{
+		char *log = fleet_read_file(m.node->log_path);
+		int n = 0;
+
+		for (char *at = log; at && (at = strstr(at, what)); at++)
+			n++;
+		free(log);
+		return n;
+	}
+
+	/* The machine whose node owns the bucket, or their number. */
+	size_t bucket_owner()
+	{
+		size_t i = 0;
+
+		while (i < machines.size() &&
+		       count(*machines[i], "event=bucket_owned") ==
+			       count(*machines[i], "event=bucket_left"))
+			i++;
+		return i;
+	}
+
+	/* Four machines that know each other; returns the bucket's owner. */
+	size_t serve_four()
+	{
+		write_config(1);
+		for (const char *service :
+		     { "front", "front", "front", "deep" })
+			add(service);
+		begin_beats();
+		for (auto &m : machines)
+			EXPECT_TRUE(wait([&] { return ready(*m) == 200; }));
+		usleep(1500000); /* all know all */
+		return bucket_owner();
+	}
+
+	static bool says(Machine &m, const char *what)
+	{
+		return count(m, what) > 0;
+	}
+
+	std::string last(Machine &m, const char *name)
+	{
+		char text[256];
+
+		platform_server_last(m.server, name, text, sizeof(text));
+		return text;
+	}
+
+	struct fleet *f = nullptr;
+	struct platform_store *store = nullptr;
+	std::string net;
+	int n_domains = 2; /* failure domains */
+	std::vector<std::unique_ptr<Machine>> machines;
+	std::list<std::string> texts;
+	std::map<std::string, std::string> settings; /* by server's id */
+	std::map<std::string, std::atomic<bool>> left;
+	std::atomic<bool> beating{ true };
+	std::thread beats;
+};
+
+} // namespace hosted
+
+#endif
--- a/test/standin/lib_platform.c
+++ b/test/standin/lib_platform.c
@@ -37,6 +37,13 @@
 	enum platform_trouble trouble;
 };
 
+/* A further address; its trouble is read and written under the store's lock. */
+struct platform_door {
+	struct platform_store *store;
+	struct server *server;
+	enum platform_trouble trouble;
+};
+
 static int64_t now_ms(void)
 {
 	struct timespec ts;
@@ -156,7 +163,21 @@
 	return serve_json(r, 200, j);
 }
 
-static enum MHD_Result watch(struct platform_store *s, struct serve_request *r)
+/* The trouble of a call: that of its door (NULL: none), or the store's. */
+static enum platform_trouble trouble_of(struct platform_store *s,
+					const struct platform_door *d)
+{
+	enum platform_trouble t;
+
+	pthread_mutex_lock(&s->lock);
+	t = d && d->trouble != PLATFORM_WELL ? d->trouble : s->trouble;
+	pthread_mutex_unlock(&s->lock);
+	return t;
+}
+
+static enum MHD_Result watch(struct platform_store *s,
+			     const struct platform_door *d,
+			     struct serve_request *r)
 {
 	int64_t end_ms = now_ms() + (int64_t)serve_query_number(r, "waitMs", 0);
 	int64_t after = (int64_t)serve_query_number(r, "after", 0);
@@ -174,6 +195,10 @@
 			break;
 		usleep(POLL_MS * 1000);
 	}
+	if (d && trouble_of(s, d) == PLATFORM_SILENT) {
+		json_decref(events);
+		return MHD_NO;
+	}
 	return serve_json(r, 200,
 			  json_pack("{s:o,s:I}", "events", events,
 				    "storeRevision", (json_int_t)revision));
@@ -256,16 +281,16 @@
 	return status;
 }
 
-static enum MHD_Result on_store(struct serve_request *r, void *arg)
+static enum MHD_Result take_call(struct platform_store *s,
+				 const struct platform_door *d,
+				 struct serve_request *r)
 {
-	struct platform_store *s = arg;
-	enum platform_trouble trouble;
+	enum platform_trouble trouble = trouble_of(s, d);
 	json_t *body;
 	int status;
 
 	pthread_mutex_lock(&s->lock);
 	s->calls++;
-	trouble = s->trouble;
 	pthread_mutex_unlock(&s->lock);
 	if (trouble == PLATFORM_BUSY)
 		return serve_json(r, 503, json_object());
@@ -278,7 +303,7 @@
 	if (strcmp(r->path, "/kv-range") == 0)
 		return range(s, r);
 	if (strcmp(r->path, "/kv-watch") == 0)
-		return watch(s, r);
+		return watch(s, d, r);
 	status = carry_out(s, r, &body);
 	if (trouble == PLATFORM_LOST) {
 		json_decref(body);
@@ -287,6 +312,18 @@
 	return serve_json(r, (unsigned int)status, body);
 }
 
+static enum MHD_Result on_store(struct serve_request *r, void *arg)
+{
+	return take_call(arg, NULL, r);
+}
+
+static enum MHD_Result on_door(struct serve_request *r, void *arg)
+{
+	struct platform_door *d = arg;
+
+	return take_call(d->store, d, r);
+}
+
 struct platform_store *platform_store_init(const char *listen)
 {
 	struct platform_store *s = calloc(1, sizeof(*s));
@@ -308,6 +345,34 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+struct platform_door *platform_door_init(struct platform_store *s,
+					 const char *listen)
+{
+	struct platform_door *d = calloc(1, sizeof(*d));
+
+	d->store = s;
+	d->server = serve_init(listen, on_door, d);
+	if (d->server)
+		return d;
+	free(d);
+	return NULL;
+}
+
+void platform_door_set(struct platform_door *d, enum platform_trouble t)
+{
+	pthread_mutex_lock(&d->store->lock);
+	d->trouble = t;
+	pthread_mutex_unlock(&d->store->lock);
+}
+
+void platform_door_end(struct platform_door *d)
+{
+	if (!d)
+		return;
+	serve_end(d->server);
+	free(d);
+}
+
 void platform_store_write(struct platform_store *s, const char *key,
 			  const char *value)
 {
--- a/test/standin/lib_platform.h
+++ b/test/standin/lib_platform.h
@@ -27,6 +27,15 @@
 /** Listens on "IP:PORT"; NULL when it is taken. */
 struct platform_store *platform_store_init(const char *listen);
 void platform_store_set(struct platform_store *s, enum platform_trouble t);
+struct platform_door;
+
+/** A further address of the store with trouble of its own, so that it turns some
+ *  of its callers away and serves the others; NULL when it is taken. */
+struct platform_door *platform_door_init(struct platform_store *s,
+					 const char *listen);
+void platform_door_set(struct platform_door *d, enum platform_trouble t);
+/** To be called before the store is ended. */
+void platform_door_end(struct platform_door *d);
 /** Writes an item as the operator does. */
 void platform_store_write(struct platform_store *s, const char *key,
 			  const char *value);
--- /dev/null
+++ b/test/test_e2e_rate.cc
@@ -0,0 +1,55 @@
+/* test_e2e_rate.cc - an organisation's rate over hosted nodes, from outside */
+#include "e2e_hosted.h"
+
+namespace
+{
+
+class HostedRate : public hosted::Hosted
+{
+};
+
+/* The store is silent to the bucket's owner, whose record lapses, while the
+ * links between the nodes stand and the organisation presses at each of them. */
+TEST_F(HostedRate, ARateHoldsWhileTheStoreTurnsItsOwnerAway)
+{
+	std::atomic<bool> stop{ false };
+	std::atomic<int> ok{ 0 };
+	std::vector<std::thread> callers;
+	std::vector<int> at; /* answered well, each 100 ms */
+
+	n_domains = 1; /* the delegate tells all that keys are current */
+	size_t owner = serve_four();
+	ASSERT_LT(owner, machines.size());
+	for (size_t i = 0; i < machines.size(); i++)
+		for (int k = 0; k < 4; k++)
+			callers.emplace_back([&, i] {
+				while (!stop) {
+					ok += call(*machines[i], "/front/x")
+						      .status == 200;
+					usleep(2000);
+				}
+			});
+	usleep(2500000); /* the burst is spent */
+	platform_door_set(machines[owner]->door, PLATFORM_SILENT);
+	for (int i = 0; i < 200; i++) {
+		if (i == 62) /* a lease of 6 s ends */
+			platform_store_remove(store, ("fulmar/nodes/n" +
+						      std::to_string(owner + 2))
+							     .c_str());
+		at.push_back(ok);
+		usleep(100000);
+	}
+	stop = true;
+	for (auto &t : callers)
+		t.join();
+	for (size_t i = 0; i + 20 < at.size(); i++)
+		EXPECT_LE(at[i + 20] - at[i], 2 * 100 * 1.1 + 20)
+			<< i * 100 << " ms after the store's silence";
+	/* Nobody goes without for longer than 0.5 s; one part of four may be
+	 * missing after that. */
+	for (size_t i = 0; i + 20 < at.size(); i++)
+		EXPECT_GE(at[i + 20] - at[i], 0.8 * 1.5 * 75)
+			<< i * 100 << " ms after the store's silence";
+}
+
+} // namespace
