The floor of repeats is shared only by nodes that have a right to a part

Nodes that the store turned away went on with a 17th each while the others, who had dropped them, took a 10th each: 1.41 of the floor.

Now a node without a right to a part (its record has lapsed and the others may have dropped it) keeps the ratio of its own first sends and no floor.

Budget.TheFloorIsNotSharedTwiceByNodesThatTheOthersDropped: 632 repeats in a window of a floor of 480 without the rule, green with it.

--- a/src/node/limits.c
+++ b/src/node/limits.c
@@ -102,13 +102,14 @@
 static struct fp_budget_bound fleet_bound(const struct fp_traffic *t)
 {
 	const struct fp_settings *s = t->settings;
-
-	return (struct fp_budget_bound){
+	const struct fp_budget_bound fleet = {
 		.ratio_permille = s->retry_permille,
 		.floor = s->retry_floor,
 		.window_us = s->retry_window_us,
 		.parts = t->members && t->members->n ? t->members->n : 1,
 	};
+
+	return fp_budget_bound_of(&fleet, &t->right, fp_mono_us(t->clock));
 }
 
 void limits_first(struct call *c)
--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -267,7 +267,8 @@
 	if (st == FP_EXHAUSTED)
 		return now_us < b->warm_us ? FP_AGAIN : FP_EXHAUSTED;
 	/* Parts are on their way to where the members meet. */
-	if (st == FP_UNAVAILABLE && b->ours && now_us < t->right.until_us)
+	if (st == FP_UNAVAILABLE && b->ours &&
+	    fp_right_holds(&t->right, now_us))
 		return FP_AGAIN;
 	return st;
 }
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -310,7 +310,7 @@
  * bucket down the ranks. */
 static void pass_over(struct org_tokens *o, int64_t now_us)
 {
-	if (now_us < o->t->right.until_us || !o->t->members)
+	if (fp_right_holds(&o->t->right, now_us) || !o->t->members)
 		return;
 	if (!o->detour)
 		o->detour_us = now_us;
@@ -319,7 +319,7 @@
 
 static void end_detour(struct org_tokens *o, int64_t now_us)
 {
-	if (o->detour && (now_us < o->t->right.until_us ||
+	if (o->detour && (fp_right_holds(&o->t->right, now_us) ||
 			  now_us - o->detour_us > DETOUR_US))
 		o->detour = 0;
 }
--- a/src/state/budget.c
+++ b/src/state/budget.c
@@ -69,6 +69,17 @@
 		b->tokens_u = room;
 }
 
+struct fp_budget_bound fp_budget_bound_of(const struct fp_budget_bound *fleet,
+					  const struct fp_right *r,
+					  int64_t now_us)
+{
+	struct fp_budget_bound b = *fleet;
+
+	if (!fp_right_holds(r, now_us))
+		b.floor = 0;
+	return b;
+}
+
 void fp_budget_first(struct fp_budget *b, const struct fp_budget_bound *bound,
 		     int64_t now_us)
 {
--- a/src/state/budget.h
+++ b/src/state/budget.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "base/status.h"
+#include "state/part.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -22,6 +23,16 @@
 	uint32_t parts; /**< nodes that share the floor, at least 1 */
 };
 
+/**
+ * The bound for a node of which the others may have lost sight.
+ *
+ * They share the floor without a node that has no right to a part any more; it
+ * goes on with the ratio of its own first sends.
+ */
+struct fp_budget_bound fp_budget_bound_of(const struct fp_budget_bound *fleet,
+					  const struct fp_right *r,
+					  int64_t now_us);
+
 /** One service's budget at one node; zeroed before first use. */
 struct fp_budget {
 	int64_t tokens_u; /**< millionths of a repeat */
--- a/src/state/part.c
+++ b/src/state/part.c
@@ -54,7 +54,7 @@
 bool fp_part_can_commit(const struct fp_part *p, const struct fp_right *r,
 			uint64_t place, int64_t now_us)
 {
-	if (now_us >= r->until_us || p->greeted != place || !p->stamp_us ||
+	if (!fp_right_holds(r, now_us) || p->greeted != place || !p->stamp_us ||
 	    p->unanswered)
 		return false;
 	return p->place == place || !fp_part_is_committed(p, now_us);
@@ -128,7 +128,7 @@
 		p->share.burst * (FP_SHARE_TOKEN_U / 1000) * p->fill_permille;
 
 	if (!p->lost || fp_part_is_committed(p, now_us) ||
-	    now_us >= r->until_us)
+	    !fp_right_holds(r, now_us))
 		return;
 	p->lost = false;
 	if (p->spared_us && now_us - p->spared_us < SPARE_EVERY_US)
@@ -152,7 +152,7 @@
 			    bool rested, int64_t now_us)
 {
 	if (fp_part_is_committed(p, now_us) || now_us < r->from_us ||
-	    now_us >= r->until_us)
+	    !fp_right_holds(r, now_us))
 		return FP_AGAIN;
 	if (!p->own_use)
 		fp_share_restart(&p->share, rested ? FP_SHARE_TOKEN_U : 0,
--- a/src/state/part.h
+++ b/src/state/part.h
@@ -24,6 +24,12 @@
 	int64_t until_us; /**< nothing from here on; 0: never had one */
 };
 
+/** Whether a node has a part now. */
+static inline bool fp_right_holds(const struct fp_right *r, int64_t now_us)
+{
+	return now_us < r->until_us;
+}
+
 /** One node's part. */
 struct fp_part {
 	struct fp_share share; /**< spent here while it is nowhere else */
--- a/test/test_budget.cc
+++ b/test/test_budget.cc
@@ -110,4 +110,30 @@
 	}
 }
 
+/* 7 of 17 nodes are turned away by the store and still know 17; the others have
+ * dropped them. After a time without repeats all repeat whatever they may. */
+TEST(Budget, TheFloorIsNotSharedTwiceByNodesThatTheOthersDropped)
+{
+	struct fp_budget_bound away = { 200, 480, 10 * second, 17 };
+	struct fp_budget_bound rest = { 200, 480, 10 * second, 10 };
+	const struct fp_right ended = { 0, 0 };
+	const struct fp_right holds = { 0, 1000 * second };
+	std::vector<struct fp_budget> nodes(17);
+	int repeats = 0;
+
+	for (int64_t now = second; now < 31 * second; now += 20000) {
+		for (size_t i = 0; i < nodes.size(); i++) {
+			struct fp_budget_bound b =
+				i < 7 ? fp_budget_bound_of(&away, &ended, now) :
+					fp_budget_bound_of(&rest, &holds, now);
+
+			while (now >= 21 * second &&
+			       fp_budget_repeat(&nodes[i], &b, now) == FP_OK)
+				repeats++;
+		}
+	}
+	EXPECT_LE(repeats, 480);
+	EXPECT_GE(repeats, 480 / 2);
+}
+
 } // namespace
