A bucket that is made again does not take back tokens of the one before

Each bucket of a process has an epoch of its own now; that such a return finds nothing is shown by Rate.LateReturnToANewOwnerFindsNothing.

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -45,6 +45,7 @@
 
 struct owner {
 	struct org_bucket *buckets;
+	uint64_t n_made; /* buckets, so that each has its own grant ids */
 	struct lost_member *lost;
 	uint32_t n_lost;
 	int64_t dialed_us;
@@ -126,7 +127,7 @@
 
 	if (!b)
 		abort();
-	b->pool = fp_pool_init(t->node_id, now_us);
+	b->pool = fp_pool_init(t->node_id + ++t->owner->n_made, now_us);
 	if (!b->pool)
 		abort();
 	memcpy(b->org, org, strlen(org) + 1);
