Commitments of parts have a file of their own; a place is found once a change

Where a part is committed, and which node is asked, moved to node/parts.c; what both files share is in tokens_private.h. The node that is asked is found again only when members, links or the ranks passed over change: it was worked out for each organisation every 10 ms, over all members. An answer to a commitment is no longer taken for one to an ask, and an organisation that the record has no more commits nothing.

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -48,6 +48,7 @@
 	uint64_t n_made; /* buckets, so that each has its own grant ids */
 	struct lost_member *lost;
 	uint32_t n_lost;
+	uint64_t view; /* counts changes of members and links */
 	int64_t dialed_us;
 };
 
@@ -61,6 +62,7 @@
 	t->owner = calloc(1, sizeof(*t->owner));
 	if (!t->owner)
 		abort();
+	t->owner->view = 1;
 }
 
 static bool is_lost(const struct owner *o, const char *addr)
@@ -217,12 +219,18 @@
 	}
 }
 
+uint64_t owner_view(const struct fp_traffic *t)
+{
+	return t->owner->view;
+}
+
 void owner_update(struct fp_traffic *t)
 {
 	int64_t now_us = fresh_now_us(t);
 	struct org_bucket *b;
 	uint32_t i;
 
+	t->owner->view++;
 	if (!t->config || !t->members)
 		return;
 	drop_lost(t);
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -15,6 +15,9 @@
 uint64_t owner_to_ask(const struct fp_traffic *t, const char *org,
 		      uint32_t passed_over);
 
+/** A number above 0 that changes when another node may have to be asked. */
+uint64_t owner_view(const struct fp_traffic *t);
+
 /** Sends an ask, a return or a commitment to a node, which may be this one. */
 void owner_send(struct fp_traffic *t, uint64_t id,
 		const struct fp_msg_shared *m);
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -8,12 +8,8 @@
  * says so, and is counted apart.
  *
  * Where the store holds the members, each node has an equal part of the rate.
- * It commits the part to the bucket that it asks (state/part.h), which has the
- * rate of the parts in it. The bucket is at the node that ranks highest for the
- * organisation and can be reached (owner.c). A node that gets no answer spends
- * its part by itself once the commitment is over; a node that has no right to a
- * part, or whose part is below one a second, asks down the ranks for a bucket
- * that others keep.
+ * It commits the part to the bucket that it asks (parts.c), and spends it by
+ * itself when it gets no answer and the commitment is over.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -23,9 +19,8 @@
 #include "base/log.h"
 #include "node/call.h"
 #include "node/owner.h"
+#include "node/tokens_private.h"
 #include "protocol/msg_shared.h"
-#include "state/grants.h"
-#include "state/part.h"
 #include "state/slice_map.h"
 
 #define ASK_TIMEOUT_US	 (100 * FP_US_PER_MS)
@@ -38,74 +33,23 @@
 #define SHARE_REST_US (2 * FP_US_PER_S)
 /* Between two lines of what an organisation spent. */
 #define REPORT_US FP_US_PER_S
-/* Between two commitments of a part, and how long requests count as demand for
- * it; two commitments may be lost before the part is missed. */
-#define COMMIT_US (200 * FP_US_PER_MS)
-#define DEMAND_US (3 * FP_US_PER_S)
-/* The same without demand, for every IDLE_ORGS organisations. */
-#define IDLE_COMMIT_US (800 * FP_US_PER_MS)
-#define IDLE_HOLD_US   (2 * FP_US_PER_S)
-#define IDLE_ORGS      16u
 /* By then the parts of all nodes that lost a bucket are in the next one: a hold,
  * and an idle node's look at its link. */
 #define SETTLE_US (FP_PART_HOLD_US + 300 * FP_US_PER_MS)
-/* How long a bucket that was found below the highest in rank is asked. */
-#define DETOUR_US (2 * FP_US_PER_S)
-
-/** One organisation's tokens and the calls that wait for one. */
-struct org_tokens {
-	char org[FP_NAME_BYTES];
-	struct fp_traffic *t;
-	struct fp_grants *grants;
-	bool alone; /* no bucket serves it: the equal part may be in use */
-	bool late; /* the last ask had no answer in time */
-	int64_t joined_us; /* when a bucket served it last */
-	struct fp_part part;
-	uint64_t commit_id; /* of the last commitment */
-	uint64_t release_id; /* of a release under way, 0: none */
-	int64_t committed_us; /* when it was sent */
-	int64_t demand_us; /* the last request that wanted a token */
-	uint32_t detour; /* ranks that are passed over */
-	int64_t detour_us; /* since when */
-	int64_t moved_us; /* since when the bucket that is asked is asked */
-	struct org_tokens *next; /* of all organisations */
-	struct call *first; /* waiting, oldest first */
-	struct call *last;
-	uint32_t n_waiting;
-	bool limited; /* it has a rate */
-	uint64_t ask_id; /* of the open ask, 0: none */
-	int64_t asked_us;
-	uint64_t asked_id; /* who was asked, hosted only */
-	bool exhausted; /* the owner's last word was an empty bucket */
-	bool filling; /* it was one that has not had the time to fill */
-	struct spending {
-		uint32_t granted; /* since the last line, by an owner's grant */
-		uint32_t part; /* out of the equal part */
-		struct fp_counter *granted_total;
-		struct fp_counter *part_total;
-	} spent;
-	int64_t reported_us; /* when spending had its last line */
-};
-
-static int64_t fresh_now_us(const struct fp_traffic *t)
-{
-	/* Not the loop's: after a pause a token must be seen as ended. */
-	return fp_mono_us(t->clock);
-}
-
 static void set_rate(struct org_tokens *o)
 {
 	const struct fp_config *cfg = o->t->config;
 	int i = cfg ? fp_config_find_org(cfg, o->org) : -1;
 	uint32_t percent = 100;
 
+	o->configured = i >= 0;
 	if (i < 0)
 		return;
 	if (o->t->hosted)
 		fp_part_set(&o->part, cfg->orgs[i].rate_per_s,
 			    cfg->orgs[i].burst,
 			    o->t->members ? o->t->members->n : 1,
-			    fresh_now_us(o->t));
+			    tokens_now_us(o->t));
 	o->limited = cfg->orgs[i].rate_per_s > 0;
 	if (cfg->n_presets)
 		percent = cfg->presets[cfg->active_preset].rate_percent;
@@ -143,7 +87,7 @@
 	t->all_tokens = o;
 	o->spent.granted_total = spent_counter(t, org, "grant");
 	o->spent.part_total = spent_counter(t, org, "part");
-	o->reported_us = fresh_now_us(t);
+	o->reported_us = tokens_now_us(t);
 	fp_part_init(&o->part);
 	set_rate(o);
 	return o;
@@ -197,11 +141,11 @@
 
 static void choose_bucket(struct org_tokens *o, int64_t now_us)
 {
-	uint64_t id = owner_to_ask(o->t, o->org, o->detour);
+	uint64_t place = parts_place(o);
 
-	if (id != o->asked_id)
+	if (place != o->asked_id)
 		o->moved_us = now_us;
-	o->asked_id = id;
+	o->asked_id = place;
 }
 
 static void ask(struct org_tokens *o, int64_t now_us)
@@ -306,130 +250,16 @@
 	o->joined_us = now_us;
 }
 
-/* Nodes with a right meet at the highest in rank; one without looks for a
- * bucket down the ranks. */
-static void pass_over(struct org_tokens *o, int64_t now_us)
-{
-	if (fp_right_holds(&o->t->right, now_us) || !o->t->members)
-		return;
-	if (!o->detour)
-		o->detour_us = now_us;
-	o->detour = (o->detour + 1) % o->t->members->n;
-}
-
-static void end_detour(struct org_tokens *o, int64_t now_us)
-{
-	if (o->detour && (fp_right_holds(&o->t->right, now_us) ||
-			  now_us - o->detour_us > DETOUR_US))
-		o->detour = 0;
-}
-
-/* --- commitments of the part --- */
-
-static void listen_for(struct org_tokens *o, uint64_t *id)
-{
-	apr_hash_set(o->t->asks, id, sizeof(*id), NULL);
-	*id = ++o->t->next_corr;
-	apr_hash_set(o->t->asks, id, sizeof(*id), o);
-}
-
-static void release_part(struct org_tokens *o, int64_t now_us)
-{
-	struct fp_msg_shared m = { .type = FP_MSG_PART_COMMIT };
-
-	listen_for(o, &o->release_id);
-	m.id = o->release_id;
-	memcpy(m.part_commit.org, o->org, sizeof(o->org));
-	fp_part_release(&o->part, now_us, &m.part_commit.commitment);
-	owner_send(o->t, o->part.place, &m);
-}
-
-static int64_t hold_us(const struct org_tokens *o, bool idle)
-{
-	int64_t us = FP_PART_HOLD_US;
-
-	if (idle)
-		us = IDLE_HOLD_US * (1 + o->t->config->n_orgs / IDLE_ORGS);
-	return us < FP_PART_MAX_SPAN_US ? us : FP_PART_MAX_SPAN_US;
-}
-
-static void send_commitment(struct org_tokens *o, uint64_t place, bool idle,
-			    int64_t now_us)
-{
-	struct fp_msg_shared m = { .type = FP_MSG_PART_COMMIT };
-	uint64_t before = o->part.place;
-
-	if (o->part.greeted != place && before != place &&
-	    fp_part_is_committed(&o->part, now_us))
-		release_part(o, now_us);
-	fp_part_commit(&o->part, &o->t->right, place, hold_us(o, idle), now_us,
-		       &m.part_commit.commitment);
-	if (m.part_commit.commitment.hold_us && o->release_id) {
-		apr_hash_set(o->t->asks, &o->release_id, sizeof(o->release_id),
-			     NULL);
-		o->release_id = 0;
-	}
-	listen_for(o, &o->commit_id);
-	o->committed_us = now_us;
-	m.id = o->commit_id;
-	memcpy(m.part_commit.org, o->org, sizeof(o->org));
-	owner_send(o->t, place, &m);
-	if (o->part.place != before)
-		fp_log(FP_LOG_INFO, "part_committed",
-		       "org=%s node=%016" PRIx64 " before=%016" PRIx64
-		       " parts=%u hold_ms=%" PRId64,
-		       o->org, place, before, m.part_commit.commitment.parts,
-		       m.part_commit.commitment.hold_us / FP_US_PER_MS);
-}
-
-/* Commits the part again in time; not to a bucket that does not answer asks. */
-static void commit_part(struct org_tokens *o, int64_t now_us)
-{
-	bool idle = now_us - o->demand_us > DEMAND_US;
-	int64_t every_us = COMMIT_US;
-	uint64_t place;
-
-	if (!o->t->hosted || !o->limited || !o->t->config || o->late)
-		return;
-	if (idle)
-		every_us =
-			IDLE_COMMIT_US * (1 + o->t->config->n_orgs / IDLE_ORGS);
-	place = owner_to_ask(o->t, o->org, o->detour);
-	if (!place)
-		return;
-	if (place == o->part.greeted && now_us - o->committed_us < every_us &&
-	    (fp_part_is_committed(&o->part, now_us) ||
-	     !fp_part_can_commit(&o->part, &o->t->right, place, now_us)))
-		return;
-	send_commitment(o, place, idle, now_us);
-}
-
-void tokens_committed(struct fp_traffic *t, uint64_t from, uint64_t id,
-		      const struct fp_part_answer *a)
-{
-	struct org_tokens *o = apr_hash_get(t->asks, &id, sizeof(id));
-	int64_t now_us = fresh_now_us(t);
-
-	if (!o || strcmp(a->org, o->org) != 0)
-		return;
-	if (id == o->commit_id)
-		fp_part_answered(&o->part, from, a->stamp_us, a->fill_permille,
-				 now_us);
-	else if (id == o->release_id)
-		fp_part_released(&o->part, from, now_us);
-	commit_part(o, now_us);
-}
-
 static void pump(struct org_tokens *o)
 {
-	int64_t now_us = fresh_now_us(o->t);
+	int64_t now_us = tokens_now_us(o->t);
 	struct call *c;
 
 	while (o->first && take_one(o, now_us) == FP_OK) {
 		c = o->first;
 		tokens_forget(c);
 		call_have_token(c);
-		now_us = fresh_now_us(o->t);
+		now_us = tokens_now_us(o->t);
 	}
 	ask(o, now_us);
 	hand_back(o, now_us);
@@ -438,7 +268,7 @@
 enum fp_status tokens_take(struct call *c)
 {
 	struct org_tokens *o = find(c->t, c->msg.org);
-	int64_t now_us = fresh_now_us(c->t);
+	int64_t now_us = tokens_now_us(c->t);
 
 	if (c->t->hosted && !o->limited)
 		return FP_OK;
@@ -509,9 +339,9 @@
 		   const struct fp_grant_answer *a)
 {
 	struct org_tokens *o = apr_hash_get(t->asks, &id, sizeof(id));
-	int64_t now_us = fresh_now_us(t);
+	int64_t now_us = tokens_now_us(t);
 
-	if (!o)
+	if (!o || id != o->ask_id)
 		return;
 	close_ask(o);
 	o->late = false;
@@ -522,7 +352,7 @@
 	else
 		go_alone(o, now_us);
 	if (o->t->hosted && a->status == FP_UNAVAILABLE)
-		pass_over(o, now_us);
+		parts_pass_over(o, now_us);
 	switch (a->status) {
 	case FP_OK:
 		fp_grants_add(o->grants, a->grant_id, a->tokens, o->asked_us,
@@ -541,7 +371,7 @@
 
 void tokens_tick(struct fp_traffic *t)
 {
-	int64_t now_us = fresh_now_us(t);
+	int64_t now_us = tokens_now_us(t);
 	struct org_tokens *o;
 
 	for (o = t->all_tokens; o; o = o->next) {
@@ -553,8 +383,7 @@
 			go_alone(o, now_us);
 			fp_grants_lost(o->grants, now_us);
 		}
-		end_detour(o, now_us);
-		commit_part(o, now_us);
+		parts_tick(o, now_us);
 		pump(o);
 		/* After what became free just now was given to them. */
 		if (!o->ask_id || !o->exhausted)
@@ -586,7 +415,7 @@
 		return;
 	for (o = t->all_tokens; o; o = o->next)
 		o->detour = 0;
-	tokens_config(t);
+	tokens_config(t); /* which finds the places anew */
 }
 
 void tokens_init(struct fp_traffic *t)
