A node that the members had dropped has no part until all know it again

A node whose right had ended waits 8.5 s after its return before it uses a part, in which time a node that does not know it has lost its own right; it is served out of the others' parts meanwhile. Where all are back or new the wait is 1 s. A process that starts takes over since when its name is known, out of the record that it replaces.

In the same measure, since each showed the other: what bridges a lost bucket is given up there, out of its tokens; the next bucket's fill says nothing of the lost one; requests wait 200 ms for part of a rate, 50 ms where the bucket had been empty within 2 s.

--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -32,19 +32,22 @@
 #define RIGHT_MARGIN_US (300 * FP_US_PER_MS)
 /* By then all members know of a new one, or have lost the store for so long that
  * their own right has ended. */
-#define KNOWN_US	 (LEASE_US + GONE_US)
+#define KNOWN_US (LEASE_US + GONE_US)
+/* By then the members of a fleet that starts know each other. */
+#define FIRST_LOOK_US	 FP_US_PER_S
 #define MAX_RECORD_BYTES 2048
 
 /* --- this node's record --- */
 
 static char *encode(const struct fp_member *m)
 {
-	json_t *j = json_pack("{s:I,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:b}", "id",
+	json_t *j = json_pack("{s:I,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:b}", "id",
 			      (json_int_t)m->id, "name", m->name, "peer",
 			      m->peer_addr, "domain", m->failure_domain,
 			      "region", m->region, "service", m->service,
 			      "slots", (json_int_t)m->slots, "warm_ms",
-			      (json_int_t)m->warm_ms, "serving", m->serving);
+			      (json_int_t)m->warm_ms, "known_ms",
+			      (json_int_t)m->known_ms, "serving", m->serving);
 	char *text = json_dumps(j, JSON_COMPACT);
 
 	json_decref(j);
@@ -79,20 +82,46 @@
 	return false;
 }
 
+static bool is_established(const struct fp_directory *d,
+			   const struct fp_member *m)
+{
+	return fp_wall_us(d->cfg.clock) - m->known_ms * FP_US_PER_MS >=
+	       KNOWN_US;
+}
+
+static bool others_are_established(const struct fp_directory *d)
+{
+	const struct directory_record *rec;
+
+	for (rec = d->records; rec; rec = rec->next)
+		if (strcmp(rec->member.name, d->cfg.self.name) != 0 &&
+		    is_established(d, &rec->member))
+			return true;
+	return false;
+}
+
+/* From when on this node may use a part. One that the others have dropped waits
+ * until all know it again, unless all of them are back or new. */
+static int64_t right_from_us(const struct fp_directory *d)
+{
+	int64_t known_us = fp_mono_us(d->cfg.clock) - fp_wall_us(d->cfg.clock) +
+			   d->cfg.self.known_ms * FP_US_PER_MS;
+	bool waits = d->was_dropped && others_are_established(d);
+
+	return known_us + (waits ? KNOWN_US : FIRST_LOOK_US);
+}
+
 /*
  * While its record stands under the lease this node has a part in what the
  * members share. The others drop it GONE_US after the lease has ended, so its
  * right ends before that by itself, counted from when the lease was last asked
- * for. A node that is new to them may use its part alone only when all know it.
+ * for. A process that starts in time goes on with the right of the one before.
  */
 static void extend_right(struct fp_directory *d)
 {
-	int64_t now_us = fp_mono_us(d->cfg.clock);
-
 	if (!d->written && !d->right.until_us)
 		return; /* the record has never stood */
-	if (now_us >= d->right.until_us)
-		d->right.from_us = now_us + KNOWN_US;
+	d->right.from_us = right_from_us(d);
 	d->right.until_us =
 		d->lease_asked_us + LEASE_US + GONE_US - RIGHT_MARGIN_US;
 	d->ops.right(d->ops.ctx, &d->right);
@@ -114,6 +143,7 @@
 	if (!lease_holds(d, r->status))
 		return;
 	d->written = !d->dirty;
+	d->inherited = false;
 	extend_right(d);
 	directory_run_after(&d->own, d->dirty ? 0 : KEEP_US);
 }
@@ -121,8 +151,11 @@
 static void write_self(struct fp_directory *d)
 {
 	char key[sizeof(NODES_PREFIX) + FP_NAME_BYTES];
-	char *text = encode(&d->cfg.self);
+	char *text;
 
+	if (fp_mono_us(d->cfg.clock) >= d->right.until_us && !d->inherited)
+		d->cfg.self.known_ms = fp_wall_us(d->cfg.clock) / FP_US_PER_MS;
+	text = encode(&d->cfg.self);
 	snprintf(key, sizeof(key), "%s%s", NODES_PREFIX, d->cfg.self.name);
 	d->writing = true;
 	d->dirty = false;
@@ -174,6 +207,8 @@
 		d->lease = 0;
 		return;
 	}
+	if (!d->listed)
+		return; /* a record of this name tells since when it is known */
 	d->keep_asked_us = fp_mono_us(d->cfg.clock);
 	if (!d->lease)
 		r->ops->open_lease(r, LEASE_US, on_lease, d);
@@ -239,6 +274,8 @@
 		m->id = (uint64_t)json_integer_value(id);
 		m->slots = (uint32_t)json_integer_value(slots);
 		m->warm_ms = json_integer_value(json_object_get(j, "warm_ms"));
+		m->known_ms =
+			json_integer_value(json_object_get(j, "known_ms"));
 		m->serving = json_is_true(json_object_get(j, "serving"));
 	}
 	json_decref(j);
@@ -323,6 +360,11 @@
 			abort();
 		*at = rec;
 	}
+	if (m.id != d->cfg.self.id && !d->right.until_us &&
+	    strcmp(m.name, d->cfg.self.name) == 0) {
+		d->cfg.self.known_ms = m.known_ms;
+		d->inherited = true;
+	}
 	rec->seen = true;
 	rec->missing_us = 0;
 	if (rec->revision == it->revision)
@@ -384,7 +426,8 @@
 {
 	struct fp_directory *d = ctx;
 	bool listing = d->others_after == 0;
-	bool changed = listing && !d->listed;
+	bool first = listing && !d->listed;
+	bool changed = first;
 	struct directory_record *rec;
 	size_t i;
 
@@ -417,6 +460,8 @@
 	d->told.n_news = 0;
 	if (changed || d->told.unpublished)
 		publish(d);
+	if (first)
+		directory_run_after(&d->own, 0);
 	directory_tell_followers(d);
 	directory_run_after(&d->others, OTHERS_PAUSE_US);
 }
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -47,18 +47,20 @@
 	struct fp_loop *loop;
 	struct fp_directory_config cfg;
 	struct fp_directory_ops ops;
-	bool closed;
 	struct directory_machine secret;
 	struct directory_machine config;
 	struct directory_machine own;
 	struct directory_machine others;
+	bool closed;
 	bool has_secret;
+	bool config_read; /* the operators' record made sense */
+	bool relayed; /* a delegate was asked and has not answered */
+	bool read_now; /* a delegate told of a newer one */
+	bool inherited; /* known_ms is that of the process before */
+	bool was_dropped; /* by the others, while the store was away */
 	uint64_t revision; /* of the operators' record in force */
 	uint64_t config_item; /* revision of the item that was asked for last */
-	bool config_read; /* its text made sense */
 	int64_t config_asked_us; /* this node, the store or a delegate */
-	bool relayed; /* a delegate was asked and has not answered */
-	bool read_now; /* a delegate told of a newer one */
 	uint64_t ask_id; /* of the last question to a delegate */
 	int64_t direct_until_us; /* delegates are not asked */
 	uint64_t delegate; /* last one, for the log */
--- a/src/coordination/member.h
+++ b/src/coordination/member.h
@@ -26,6 +26,8 @@
 	uint32_t slots; /**< of its worker; 0 when none is announced */
 	int64_t warm_ms; /**< its worker is slow until then, Unix ms; 0: not
 			      told */
+	int64_t known_ms; /**< its name has had a record since then without a
+			       gap that others noticed, Unix ms */
 	bool serving; /**< its worker takes new work */
 	bool suspected; /**< may be dead */
 };
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -25,10 +25,10 @@
 
 #define ASK_TIMEOUT_US	 (100 * FP_US_PER_MS)
 #define NO_OWNER_WAIT_US FP_US_PER_S
-/* An equal part earns slowly, and a few requests come at once. */
-#define ALONE_WAIT_US (200 * FP_US_PER_MS)
-#define ASK_AGAIN_US  (20 * FP_US_PER_MS)
-#define MAX_WAITING   1024u
+/* Parts of a rate earn slowly, and a few requests come at once. */
+#define PART_WAIT_US (200 * FP_US_PER_MS)
+#define ASK_AGAIN_US (20 * FP_US_PER_MS)
+#define MAX_WAITING  1024u
 /* After so long with an owner the equal part begins with a token. */
 #define SHARE_REST_US (2 * FP_US_PER_S)
 /* Between two lines of what an organisation spent. */
@@ -36,6 +36,8 @@
 /* By then the parts of all nodes that lost a bucket are in the next one: a hold,
  * and an idle node's look at its link. */
 #define SETTLE_US (FP_PART_HOLD_US + 300 * FP_US_PER_MS)
+/* How long an organisation counts as at its limit after an empty bucket. */
+#define AT_LIMIT_US (2 * FP_US_PER_S)
 static void set_rate(struct org_tokens *o)
 {
 	const struct fp_config *cfg = o->t->config;
@@ -293,12 +295,14 @@
 		    FP_RETRY_AFTER_US);
 }
 
-/* The part is on its way to a bucket, or is not free yet to be spent here. Who is
- * at its limit would wait in vain. */
+static bool is_at_limit(const struct org_tokens *o, int64_t now_us)
+{
+	return o->exhausted_us && now_us - o->exhausted_us < AT_LIMIT_US;
+}
+
+/* The part is on its way to a bucket, or is not free yet to be spent here. */
 static bool is_settling(const struct org_tokens *o, int64_t now_us)
 {
-	if (!o->t->hosted || !fp_part_has_room(&o->part))
-		return false;
 	return now_us - o->moved_us < SETTLE_US ||
 	       (o->alone && fp_part_is_committed(&o->part, now_us));
 }
@@ -306,15 +310,13 @@
 static int64_t patience_us(const struct org_tokens *o, const struct call *c,
 			   int64_t now_us)
 {
+	bool part_of_rate = o->filling || o->alone;
 	int64_t half_us = (c->deadline_us - c->started_us) / 2;
 
-	if (o->exhausted)
+	if (o->exhausted || (part_of_rate && is_at_limit(o, now_us)))
 		return FP_GRANT_WAIT_US;
-	if (!is_settling(o, now_us)) {
-		if (o->alone)
-			return ALONE_WAIT_US;
-		return o->filling ? FP_GRANT_WAIT_US : NO_OWNER_WAIT_US;
-	}
+	if (!o->t->hosted || !is_settling(o, now_us))
+		return part_of_rate ? PART_WAIT_US : NO_OWNER_WAIT_US;
 	/* There must be time to run it. */
 	return half_us < SETTLE_US ? half_us : SETTLE_US;
 }
@@ -346,6 +348,8 @@
 	close_ask(o);
 	o->late = false;
 	o->exhausted = a->status == FP_EXHAUSTED;
+	if (o->exhausted)
+		o->exhausted_us = now_us;
 	o->filling = o->t->hosted && a->status == FP_AGAIN;
 	if (a->status == FP_OK || o->exhausted || o->filling)
 		join(o, now_us);
--- a/src/node/tokens_private.h
+++ b/src/node/tokens_private.h
@@ -34,6 +34,7 @@
 	int64_t asked_us;
 	uint64_t asked_id; /* who was asked, hosted only */
 	bool exhausted; /* the owner's last word was an empty bucket */
+	int64_t exhausted_us; /* when that was said last */
 	bool filling; /* it was one that has not had the time to fill */
 	struct spending {
 		uint32_t granted; /* since the last line, by an owner's grant */
--- a/src/state/part.c
+++ b/src/state/part.c
@@ -14,19 +14,18 @@
  * arrived: its clock in that answer plus this age is not after the sending.
  *
  * While a part is held by a bucket that is lost nobody grants it. What it would
- * have earned is made up for, if the bucket was not empty: an organisation that
- * is above its rate gets nothing. So it is at the start of a process.
+ * have earned is made up for out of the tokens that were there: the bucket, if it
+ * lives, gives them up. An organisation that is above its rate gets nothing. A
+ * process that starts does the same.
  *
  * The right to a part ends by itself, before the others share the rate without
  * this node (directory_members.c).
  */
 #include "state/part.h"
 
-/* Between two bridges of one node. In this time the whole fleet adds at most a
- * hold of the rate, also where a bucket that seemed lost went on granting. */
+/* Between two bridges of one node: a bucket that is lost again and again is not
+ * there to give up what bridges it. */
 #define SPARE_EVERY_US INT64_C(5000000)
-/* Below it an organisation is at its limit. */
-#define ROOM_PERMILLE 100u
 /* Nothing that waited longer can use it. */
 #define SPARE_US INT64_C(1000000)
 
@@ -41,11 +40,6 @@
 	fp_share_set(&p->share, rate_per_s, burst, parts, now_us);
 }
 
-bool fp_part_has_room(const struct fp_part *p)
-{
-	return p->fill_permille >= ROOM_PERMILLE;
-}
-
 bool fp_part_is_committed(const struct fp_part *p, int64_t now_us)
 {
 	return now_us < p->committed_until_us;
@@ -116,24 +110,32 @@
 		return;
 	p->stamp_us = stamp_us;
 	p->stamped_us = now_us;
-	p->fill_permille = fill_permille;
+	/* A bucket without the part says nothing of the organisation's use. */
+	if (p->place == place)
+		p->fill_permille = fill_permille;
 	p->unanswered = false;
 }
 
+int64_t fp_part_spare_u(uint32_t rate_per_s, uint32_t burst, uint32_t parts,
+			uint32_t fill_permille)
+{
+	int64_t earned_u = rate_per_s * FP_PART_HOLD_US;
+	int64_t there_u = burst * (FP_SHARE_TOKEN_U / 1000) * fill_permille;
+
+	return (earned_u < there_u ? earned_u : there_u) / parts;
+}
+
 /* Fills the spare tokens when the hold of a lost bucket has ended. */
 static void bridge(struct fp_part *p, const struct fp_right *r, int64_t now_us)
 {
-	int64_t earned_u = p->share.rate_per_s * FP_PART_HOLD_US;
-	int64_t there_u =
-		p->share.burst * (FP_SHARE_TOKEN_U / 1000) * p->fill_permille;
-
 	if (!p->lost || fp_part_is_committed(p, now_us) ||
 	    !fp_right_holds(r, now_us))
 		return;
 	p->lost = false;
 	if (p->spared_us && now_us - p->spared_us < SPARE_EVERY_US)
 		return;
-	p->spare_u = (earned_u < there_u ? earned_u : there_u) / p->share.parts;
+	p->spare_u = fp_part_spare_u(p->share.rate_per_s, p->share.burst,
+				     p->share.parts, p->fill_permille);
 	p->spare_until_us = now_us + SPARE_US;
 	p->spared_us = now_us;
 }
@@ -151,8 +153,7 @@
 enum fp_status fp_part_take(struct fp_part *p, const struct fp_right *r,
 			    bool rested, int64_t now_us)
 {
-	if (fp_part_is_committed(p, now_us) || now_us < r->from_us ||
-	    !fp_right_holds(r, now_us))
+	if (fp_part_is_committed(p, now_us) || !fp_right_holds(r, now_us))
 		return FP_AGAIN;
 	if (!p->own_use)
 		fp_share_restart(&p->share, rested ? FP_SHARE_TOKEN_U : 0,
--- a/src/state/part.h
+++ b/src/state/part.h
@@ -20,14 +20,14 @@
 
 /** When a node has a part at all, on its own clock. */
 struct fp_right {
-	int64_t from_us; /**< may spend it by itself from here on */
-	int64_t until_us; /**< nothing from here on; 0: never had one */
+	int64_t from_us; /**< from here on */
+	int64_t until_us; /**< and before this; 0: never had one */
 };
 
 /** Whether a node has a part now. */
 static inline bool fp_right_holds(const struct fp_right *r, int64_t now_us)
 {
-	return now_us < r->until_us;
+	return now_us >= r->from_us && now_us < r->until_us;
 }
 
 /** One node's part. */
@@ -38,7 +38,8 @@
 	uint64_t greeted; /**< node that the stamp is of, or is asked of */
 	int64_t stamp_us; /**< its clock in its last answer; 0: none yet */
 	int64_t stamped_us; /**< own clock at that answer */
-	uint32_t fill_permille; /**< of that bucket's burst, in that answer */
+	uint32_t
+		fill_permille; /**< of the burst at place, in its last answer */
 	bool unanswered; /**< the last commitment has had no answer */
 	bool own_use; /**< the share was begun since it is free */
 	bool lost; /**< its hold ends without a release */
@@ -96,9 +97,6 @@
 bool fp_part_can_commit(const struct fp_part *p, const struct fp_right *r,
 			uint64_t place, int64_t now_us);
 
-/** Whether the bucket, when it was heard of last, had tokens left. */
-bool fp_part_has_room(const struct fp_part *p);
-
 /** Whether the part is committed to a bucket. */
 bool fp_part_is_committed(const struct fp_part *p, int64_t now_us);
 
@@ -112,6 +110,10 @@
 enum fp_status fp_part_take(struct fp_part *p, const struct fp_right *r,
 			    bool rested, int64_t now_us);
 
+/** What bridges a lost bucket that was so full, millionths of a token. */
+int64_t fp_part_spare_u(uint32_t rate_per_s, uint32_t burst, uint32_t parts,
+			uint32_t fill_permille);
+
 /**
  * Takes one of the tokens that bridge a lost bucket: what the part would have
  * earned while it was held there, of a bucket that had it, for requests that
--- a/src/state/pool.c
+++ b/src/state/pool.c
@@ -24,6 +24,7 @@
 	int64_t sent_us; /* on its holder's clock */
 	int64_t since_us;
 	int64_t until_us;
+	uint32_t told_permille; /* how full its holder knows the bucket */
 };
 
 struct fp_pool {
@@ -98,15 +99,35 @@
 	return next_us;
 }
 
+/* A holder that lost this bucket bridges the hold with tokens that it knows to
+ * be here: they are its own. */
+static void give_up_spare(struct fp_pool *p, const struct committed *k,
+			  int64_t now_us)
+{
+	int64_t spare_u = fp_part_spare_u(p->rate_per_s, p->burst, k->parts,
+					  k->told_permille);
+	uint32_t granted;
+	uint64_t id;
+	int64_t wait_us;
+
+	if (spare_u >= FP_SHARE_TOKEN_U)
+		fp_bucket_grant(p->bucket,
+				(uint32_t)(spare_u / FP_SHARE_TOKEN_U), now_us,
+				&id, &granted, &wait_us);
+}
+
 static void drop_ended(struct fp_pool *p, int64_t now_us)
 {
 	uint32_t i = 0;
 
 	while (i < p->n) {
-		if (p->all[i].until_us <= now_us)
-			p->all[i] = p->all[--p->n];
-		else
+		if (p->all[i].until_us > now_us) {
 			i++;
+			continue;
+		}
+		if (p->all[i].parts)
+			give_up_spare(p, &p->all[i], now_us);
+		p->all[i] = p->all[--p->n];
 	}
 }
 
@@ -152,6 +173,15 @@
 	return &p->all[i];
 }
 
+static uint32_t fill_permille(struct fp_pool *p, int64_t now_us)
+{
+	uint32_t tokens;
+	uint32_t outstanding;
+
+	fp_bucket_read(p->bucket, now_us, &tokens, &outstanding);
+	return p->burst ? (uint32_t)(tokens * UINT64_C(1000) / p->burst) : 0;
+}
+
 /* A release is remembered for as long as what was sent before it may hold. */
 static void release(struct fp_pool *p, struct committed *k, int64_t now_us)
 {
@@ -187,6 +217,7 @@
 	k->parts = c->parts;
 	k->until_us = sent_us + hold_us;
 	set_bucket(p, now_us);
+	k->told_permille = fill_permille(p, now_us);
 }
 
 enum fp_status fp_pool_grant(struct fp_pool *p, uint32_t want, int64_t now_us,
@@ -209,14 +240,10 @@
 
 void fp_pool_read(struct fp_pool *p, int64_t now_us, struct fp_pool_view *out)
 {
-	uint32_t tokens;
-	uint32_t outstanding;
 	uint32_t i;
 
 	advance(p, now_us);
-	fp_bucket_read(p->bucket, now_us, &tokens, &outstanding);
-	out->fill_permille =
-		p->burst ? (uint32_t)(tokens * UINT64_C(1000) / p->burst) : 0;
+	out->fill_permille = fill_permille(p, now_us);
 	out->parts = 0;
 	for (i = 0; i < p->n; i++)
 		out->parts += p->all[i].parts != 0;
