--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -153,8 +153,10 @@
 	char key[sizeof(NODES_PREFIX) + FP_NAME_BYTES];
 	char *text;
 
-	if (fp_mono_us(d->cfg.clock) >= d->right.until_us && !d->inherited)
+	if (fp_mono_us(d->cfg.clock) >= d->right.until_us && !d->inherited) {
 		d->cfg.self.known_ms = fp_wall_us(d->cfg.clock) / FP_US_PER_MS;
+		d->was_dropped = d->right.until_us != 0;
+	}
 	text = encode(&d->cfg.self);
 	snprintf(key, sizeof(key), "%s%s", NODES_PREFIX, d->cfg.self.name);
 	d->writing = true;
