--- a/src/node/backend_call.c
+++ b/src/node/backend_call.c
@@ -41,6 +41,31 @@
 	return res->http_status == 503 && mark && strcmp(mark, "1") == 0;
 }
 
+/* Whether the backend server says that it has a free slot and no queue. */
+static bool reports_room(const struct fp_traffic *t,
+			 const struct fp_http_result *res)
+{
+	const char *text;
+	struct fp_backend_load load;
+
+	if (!t->dialect->backend_load)
+		return false;
+	text = fp_http_find_header(res->headers, res->n_headers,
+				   t->dialect->backend_load);
+	return text && t->dialect->load(text, &load) == FP_OK &&
+	       load.running < load.slots && !load.waiting;
+}
+
+/* Why a backend server did not run a request. */
+static enum fp_reason refusal_reason(const struct fp_traffic *t,
+				     const struct fp_http_result *res)
+{
+	if (res->http_status == 421)
+		return FP_REASON_STOPPING;
+	return reports_room(t, res) ? FP_REASON_BACKEND_REFUSED :
+				      FP_REASON_OVERLOADED;
+}
+
 void backend_read_result(const struct fp_traffic *t,
 			 const struct fp_http_result *res,
 			 struct fp_msg_reply *r)
@@ -55,8 +80,7 @@
 			return;
 		}
 		r->outcome = FP_OUTCOME_NOT_RUN;
-		r->reason = res->http_status == 421 ? FP_REASON_STOPPING :
-						      FP_REASON_OVERLOADED;
+		r->reason = refusal_reason(t, res);
 		return;
 	case FP_UNAVAILABLE:
 		r->outcome = FP_OUTCOME_NOT_RUN;
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -302,6 +302,8 @@
 		return true;
 	if (c->t->hosted)
 		return spend_attempt(c);
+	if (why == FP_REASON_BACKEND_REFUSED)
+		return spend_attempt(c);
 	/* After an overloaded worker only root calls try another one. */
 	return why != FP_REASON_OVERLOADED ||
 	       (!c->msg.nested && spend_attempt(c));
@@ -507,6 +509,7 @@
 		return r->http_status >= 500 ? FP_BALANCER_FAILED :
 					       FP_BALANCER_OK;
 	case FP_REASON_OVERLOADED:
+	case FP_REASON_BACKEND_REFUSED:
 	case FP_REASON_DEADLINE:
 	case FP_REASON_STOPPING:
 		return FP_BALANCER_REFUSED;
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -236,6 +236,19 @@
 			  now_us);
 }
 
+/* Frees the slot of an execution that the backend server has answered. */
+static void end_run(struct execution *e, enum fp_reason why)
+{
+	if (e->running && why == FP_REASON_BACKEND_REFUSED) {
+		e->running = false;
+		fp_admission_not_run(e->t->admission,
+				     fp_loop_now_us(e->t->loop));
+		return;
+	}
+	release_slot(e,
+		     why == FP_REASON_OVERLOADED || why == FP_REASON_DEADLINE);
+}
+
 static void on_backend_done(void *ctx, const struct fp_http_result *res)
 {
 	struct execution *e = ctx;
@@ -249,8 +262,7 @@
 		log_failure(e, r.outcome, r.reason, r.run_us);
 	if (r.reason == FP_REASON_CUT || r.reason == FP_REASON_NO_WORKER)
 		worker_note_aborted(t, e->msg.fingerprint);
-	release_slot(e, r.reason == FP_REASON_OVERLOADED ||
-				r.reason == FP_REASON_DEADLINE);
+	end_run(e, r.reason);
 	send_reply(e, &r);
 	execution_free(e);
 	execution_apply_decisions(t);
--- a/src/node/limits.c
+++ b/src/node/limits.c
@@ -206,6 +206,7 @@
 	case FP_REASON_NONE:
 		return http_status >= 500;
 	case FP_REASON_OVERLOADED:
+	case FP_REASON_BACKEND_REFUSED:
 	case FP_REASON_SHED_EARLY:
 	case FP_REASON_NO_WORKER:
 	case FP_REASON_DEADLINE:
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -39,6 +39,13 @@
 	uint64_t sequence; /**< increases within one instance */
 };
 
+/** What a backend server says about its own load. */
+struct fp_backend_load {
+	uint32_t running; /**< requests that it runs */
+	uint32_t waiting; /**< requests in its queue */
+	uint32_t slots; /**< requests that it can run at a time */
+};
+
 /** Header names, NULL where there is none, and other conventions. */
 struct fp_dialect {
 	const char *request_id; /**< set by the caller, echoed by the server */
@@ -54,6 +61,7 @@
 	/** from the server: the request did not run. Valid if present with
 	 *  misdirected_not_run, otherwise only if "1" with status 503 */
 	const char *not_run;
+	const char *backend_load; /**< from the server: its load */
 	const char *cancel_path; /**< posted to the server to cancel a call;
 				  *   NULL: the connection is closed instead */
 	const char *ready_path; /**< path of the readiness probe */
@@ -80,6 +88,8 @@
 	enum fp_status (*announcement)(const char *method, const char *uri,
 				       const uint8_t *body, size_t bytes,
 				       struct fp_announcement *out);
+	/** Parses the value of the header backend_load; FP_OK or FP_INVALID. */
+	enum fp_status (*load)(const char *text, struct fp_backend_load *out);
 	/** Parses the configuration record; NULL: the product's own format. */
 	enum fp_status (*config)(const char *text, size_t bytes,
 				 struct fp_config **out);
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -37,6 +37,10 @@
  * INCREASE_DIVISOR when all of it was in use, and shrinks with the fraction of
  * requests that the backend server refused or could not finish in time. The
  * ceiling is the announced number of slots, reduced by the preset's percentage.
+ * A refusal takes no time, so the fraction of refusals can be large while all
+ * slots do useful work: refusals do not lower the limit below the number of
+ * requests that recently ran at the same time and finished. A refusal by a
+ * server that reports free slots is a fault of that server and not counted.
  * Requests that started before the last decrease carry no information about the
  * current limit and are not counted. Neither is a late request that ran about
  * as long as the smallest mean run time of the last seconds: its time was spent
@@ -76,9 +80,13 @@
 /* a failure after a run time from this percent of that minimum ... */
 #define FLOOR_MIN_PERCENT 50
 #define FLOOR_MAX_PERCENT 150 /* ... to this is ignored */
-#define INCREASE_DIVISOR  8 /* increase by limit / this, at least 1 */
-#define QUEUE_MIN	  8 /* requests that may always wait ... */
-#define QUEUE_DIVISOR	  2 /* ... or limit / this, if more */
+/* a failure after less than the mean run time / this is a refusal */
+#define QUICK_DIVISOR 16
+/* the maximum of the finished concurrency covers one to two of these periods */
+#define FINISHES_PERIOD_US 5000000
+#define INCREASE_DIVISOR   8 /* increase by limit / this, at least 1 */
+#define QUEUE_MIN	   8 /* requests that may always wait ... */
+#define QUEUE_DIVISOR	   2 /* ... or limit / this, if more */
 /* queue in a burst, relative to the standing one */
 #define BURST_FACTOR 4
 #define BURST_US     1000000 /* longest duration of a burst */
@@ -150,6 +158,13 @@
 	int64_t decreased_us; /* last decrease */
 	uint32_t ended; /* in the limit window */
 	uint32_t bad; /* of these, failures that a lower limit could avoid */
+	uint32_t quick; /* of the bad ones, refusals */
+	int64_t finished_us; /* run time of those that finished in time */
+	/* requests that ran at the same time and finished: maximum of the
+	 * windows of the current period */
+	uint32_t finishes;
+	uint32_t previous_finishes; /* of the previous period */
+	int64_t finishes_start_us; /* start of the current period */
 	uint32_t peak_running; /* maximum of running in the limit window */
 	int64_t demand_window_us; /* start of the demand window */
 	uint32_t started; /* in the demand window */
@@ -474,15 +489,40 @@
 		a->demand_window_us += n * DEMAND_WINDOW_US;
 }
 
+/* Updates the number of requests that run at the same time and finish; that of
+ * the window is taken by Little's law. */
+static void update_finishes(struct fp_admission *a, int64_t now_us)
+{
+	int64_t length_us = now_us - a->window_us;
+	uint32_t n = (uint32_t)((a->finished_us + length_us / 2) / length_us);
+
+	if (now_us - a->finishes_start_us >= FINISHES_PERIOD_US) {
+		a->previous_finishes = a->finishes;
+		a->finishes = 0;
+		a->finishes_start_us = now_us;
+	}
+	if (n > a->finishes)
+		a->finishes = n;
+}
+
 static void decrease_limit(struct fp_admission *a, int64_t now_us)
 {
 	uint32_t percent = a->bad * 100 / a->ended;
-
+	uint32_t least = 1;
+
+	if (a->quick * 2 > a->bad)
+		least = a->finishes > a->previous_finishes ?
+				a->finishes :
+				a->previous_finishes;
+	if (least > a->limit)
+		least = a->limit;
 	if (percent < DECREASE_MIN_PERCENT)
 		percent = DECREASE_MIN_PERCENT;
 	if (percent > DECREASE_MAX_PERCENT)
 		percent = DECREASE_MAX_PERCENT;
 	a->limit = (uint32_t)((uint64_t)a->limit * (100 - percent) / 100);
+	if (a->limit < least)
+		a->limit = least;
 	if (a->limit < 1)
 		a->limit = 1;
 	a->decreased_us = now_us;
@@ -504,6 +544,7 @@
 
 	if (now_us - a->window_us < length)
 		return;
+	update_finishes(a, now_us);
 	if (!a->p.off && a->ended) {
 		if (a->bad * BAD_DIVISOR > a->ended)
 			decrease_limit(a, now_us);
@@ -513,6 +554,8 @@
 	a->window_us = now_us;
 	a->ended = 0;
 	a->bad = 0;
+	a->quick = 0;
+	a->finished_us = 0;
 	a->peak_running = a->running;
 }
 
@@ -795,9 +838,13 @@
 		a->running--;
 	if (now_us - run_us >= a->decreased_us) {
 		a->ended++;
-		if (overloaded && may_be_limit_fault(a, run_us))
+		if (overloaded && may_be_limit_fault(a, run_us)) {
 			a->bad++;
+			a->quick += run_us < a->run_us / QUICK_DIVISOR;
+		}
 	}
+	if (!overloaded)
+		a->finished_us += run_us;
 	/* A failure only shows that the run time is at least this long. */
 	if (!overloaded || run_us > a->run_us)
 		update_run_time(a, run_us);
@@ -807,6 +854,13 @@
 	start_waiting(a, now_us);
 }
 
+void fp_admission_not_run(struct fp_admission *a, int64_t now_us)
+{
+	if (a->running > 0)
+		a->running--;
+	start_waiting(a, now_us);
+}
+
 void fp_admission_tick(struct fp_admission *a, int64_t now_us)
 {
 	int i;
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -86,6 +86,15 @@
 void fp_admission_done(struct fp_admission *a, uint64_t id, int64_t run_us,
 		       bool overloaded, int64_t now_us);
 
+/**
+ * Records that the backend server did not run a started request although it had
+ * free slots.
+ *
+ * The slot becomes free. Nothing else is learned: a lower limit would not avoid
+ * such refusals, and would queue the requests that the server does run.
+ */
+void fp_admission_not_run(struct fp_admission *a, int64_t now_us);
+
 /** Advances time and expires requests; call at least every 10 ms. */
 void fp_admission_tick(struct fp_admission *a, int64_t now_us);
 
--- a/src/state/types.c
+++ b/src/state/types.c
@@ -43,6 +43,7 @@
 	[FP_REASON_CLAIM_LOST] = { "claim-lost", 503 },
 	[FP_REASON_NO_CLAIM] = { "no-claim", 503 },
 	[FP_REASON_ID_REUSED] = { "idempotency-key-reused", 422 },
+	[FP_REASON_BACKEND_REFUSED] = { "backend-refused", 503 },
 	[FP_REASON_OUTCOME_LOST] = { "outcome-lost", 409 },
 };
 
--- a/src/state/types.h
+++ b/src/state/types.h
@@ -87,6 +87,8 @@
 	FP_REASON_CLAIM_LOST, /**< 503, claims of the slice were lost */
 	FP_REASON_NO_CLAIM, /**< 503, no owner could store the claim */
 	FP_REASON_ID_REUSED, /**< 422, same key, different request */
+	/** 503, refused by a backend server that had free slots */
+	FP_REASON_BACKEND_REFUSED,
 	FP_REASON_OUTCOME_LOST, /**< 409, may have run; will not run again */
 	FP_REASON_COUNT
 };
--- a/test/e2e_hosted.h
+++ b/test/e2e_hosted.h
@@ -147,6 +147,7 @@
 		o.born_ms = 1000;
 		o.run_ms = run_ms;
 		o.close_without_answer = close_without_answer;
+		o.refusal_load = refusal_load;
 		if (nested_host) {
 			texts.push_back(m.outbound + "/inner/x");
 			o.nested_url = texts.back().c_str();
@@ -357,6 +358,9 @@
 	struct fleet *f = nullptr;
 	struct platform_store *store = nullptr;
 	std::string net; /* first three bytes of all addresses, with a dot */
+	/* load that servers started from now on report when they refuse each
+	 * request; null: they refuse none */
+	const char *refusal_load = nullptr;
 	int n_domains = 2; /* failure domains */
 	std::vector<std::unique_ptr<Machine>> machines;
 	std::list<std::string> texts; /* strings that server options point to */
--- a/test/sim_worker.h
+++ b/test/sim_worker.h
@@ -81,6 +81,8 @@
 	uint64_t last_id = 0;
 	double cores;
 	double slowdown = 1;
+	double refused_share = 0; /* refused by the server with free slots */
+	bool reports_room = true; /* the server says so when it refuses */
 	int late_refusals = 0; /* FP_REASON_DEADLINE */
 	/* Whether a request reaches the worker; models the entry node. */
 	std::function<bool(const sim_source &)> admit_at_entry;
@@ -95,6 +97,15 @@
 		sim_worker *s = (sim_worker *)ctx;
 		sim_request &r = s->live[id];
 
+		if (s->refused_share > 0 &&
+		    s->random.unit() < s->refused_share) {
+			s->fail(id);
+			if (s->reports_room)
+				fp_admission_not_run(s->a, now_us);
+			else
+				fp_admission_done(s->a, id, 0, true, now_us);
+			return;
+		}
 		r.started_us = now_us;
 		s->running.push_back(id);
 	}
--- a/test/standin/lib_platform.c
+++ b/test/standin/lib_platform.c
@@ -484,6 +484,23 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+static enum MHD_Result send_refusal(struct platform_server *s,
+				    struct serve_request *r)
+{
+	struct MHD_Response *res;
+	enum MHD_Result rc;
+
+	res = MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
+	MHD_add_response_header(res, "Fulmarpass-Not-Executed", "1");
+	MHD_add_response_header(res, "Fulmarpass-Server-Load",
+				s->o.refusal_load);
+	MHD_add_response_header(res, "Fulmarpass-Request-Id",
+				serve_header(r, "Fulmarpass-Request-Id"));
+	rc = MHD_queue_response(r->conn, 503, res);
+	MHD_destroy_response(res);
+	return rc;
+}
+
 static enum MHD_Result on_request(struct serve_request *r, void *arg)
 {
 	struct platform_server *s = arg;
@@ -494,6 +511,8 @@
 	if (strcmp(serve_header(r, "Fulmarpass-Target-Instance"), s->o.id) != 0)
 		return serve_bytes(r, 421, "", 0, "Fulmarpass-Instance-Id",
 				   s->o.id);
+	if (s->o.refusal_load)
+		return send_refusal(s, r);
 	pthread_mutex_lock(&s->lock);
 	s->runs++;
 	for (i = 0; i < N_RECORDED; i++)
--- a/test/standin/lib_platform.h
+++ b/test/standin/lib_platform.h
@@ -70,6 +70,9 @@
 	int64_t born_ms; /**< start time that announcements carry */
 	int run_ms; /**< time to run a request */
 	bool close_without_answer; /**< instead of answering */
+	/** Load that it reports with a refusal of each request; NULL: it
+	 *  refuses none. */
+	const char *refusal_load;
 	/** Nested request that it sends to its node while running one. */
 	const char *nested_url; /**< NULL: none */
 	const char *nested_host; /**< its Host header */
--- a/test/test_admission.cc
+++ b/test/test_admission.cc
@@ -225,6 +225,45 @@
 	return worst;
 }
 
+/* A server of 1000/s refuses 55 of 100 requests for 8 s while it has free
+ * slots; callers send up to two more times. */
+TEST(FaultyBackend, RefusalsWithFreeSlotsDoNotLowerTheLimit)
+{
+	struct fp_admission_params p = { false, 20, 100, 20000, 2000 };
+	sim_worker s(p, SEED);
+	struct fp_admission_load load;
+
+	s.add(FP_CLASS_NORMAL, 0, 100, 600, 20000, 300000, 2);
+	s.run_s(2);
+	s.refused_share = 0.55;
+	s.run_s(8);
+	fp_admission_read_load(s.a, &load);
+	EXPECT_EQ(20U, load.limit);
+	/* 1 - 0.55^3 of the requests find a server that runs them. */
+	EXPECT_GE(s.served_fraction(0, 2, 10), 0.95 * (1 - pow(0.55, 3)));
+	s.refused_share = 0;
+	s.run_s(4);
+	EXPECT_GE(s.served_fraction(0, 11, 13), 0.99);
+}
+
+/* Without a report refusals count as load, but the limit stays at what the
+ * server runs to the end. */
+TEST(FaultyBackend, KeepsTheConcurrencyThatFinishes)
+{
+	struct fp_admission_params p = { false, 20, 100, 20000, 2000 };
+	sim_worker s(p, SEED);
+
+	s.reports_room = false;
+	s.add(FP_CLASS_NORMAL, 0, 100, 3000 / 0.45, 20000, 300000, 0);
+	s.run_s(2);
+	s.refused_share = 0.55;
+	s.run_s(8);
+	EXPECT_GE(s.goodput(3, 10), 900);
+	s.refused_share = 0;
+	s.run_s(4);
+	EXPECT_GE(s.goodput(11, 13), 900);
+}
+
 TEST(Fairness, ServesOrganisationsInsideTheirRate)
 {
 	const int heavy_orgs[] = { 0, 7 };
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -147,6 +147,29 @@
 	EXPECT_EQ(runs + 1, platform_server_run_count(machines[1]->server));
 }
 
+/* Two of three servers of a service refuse; those that have free slots keep
+ * their limit, full ones do not. */
+TEST_F(Hosted, ARefusalWithFreeSlotsIsAFaultAndNotALoad)
+{
+	serve();
+	refusal_load = "3,0,8";
+	Machine &faulty = add("deep");
+	refusal_load = "8,2,8";
+	Machine &full = add("deep");
+	ASSERT_TRUE(wait([&] {
+		call(*machines[0], "/deep/x");
+		return log_has(faulty, "reason=backend-refused") &&
+		       log_has(full, "reason=overloaded");
+	}));
+	for (int i = 0; i < 20; i++)
+		call(*machines[0], "/deep/x");
+	EXPECT_FALSE(log_has(faulty, "reason=overloaded"));
+	EXPECT_FALSE(log_has(full, "reason=backend-refused"));
+	EXPECT_EQ(0, platform_server_run_count(faulty.server));
+	EXPECT_FALSE(log_has(faulty, "limit=7"));
+	EXPECT_TRUE(log_has(*machines[0], "event=call_retried"));
+}
+
 TEST_F(Hosted, ANestedCallNeedsNoKeyAndCarriesNoOrganisation)
 {
 	write_config(1);
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -53,6 +53,21 @@
 	EXPECT_EQ(2500000, a.slow_start_us);
 }
 
+TEST(ServerLoad, OnlyThreeNumbersAreDecoded)
+{
+	struct fp_backend_load load = {};
+
+	ASSERT_EQ(FP_OK, platform_dialect.load("3,0,8", &load));
+	EXPECT_EQ(3u, load.running);
+	EXPECT_EQ(0u, load.waiting);
+	EXPECT_EQ(8u, load.slots);
+	for (const char *text :
+	     { "", "3", "3,0", "3,0,", "3,0,8,1", "-3,0,8", "3, 0,8", "3,0,8x",
+	       "3,0,4294967296", "3,0,99999999999999999999999" })
+		EXPECT_EQ(FP_INVALID, platform_dialect.load(text, &load))
+			<< text;
+}
+
 TEST(Heartbeat, DrainingAndDeregistrationAreDecoded)
 {
 	struct fp_announcement a;
