--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -36,8 +36,12 @@
  * half of that time. The backoff limit gives a delay of at most 1.2 s, so that
  * each task succeeds again within 2 s after the store recovers. */
 #define CONFIG_PERIOD_US FP_US_PER_S
-#define MIN_BACKOFF_US	 (100 * FP_US_PER_MS)
-#define MAX_BACKOFF_US	 (800 * FP_US_PER_MS)
+/* Longest wait for another node to create the secret. */
+#define SECRET_WAIT_US (300 * FP_US_PER_MS)
+/* Wait for an operator to write the first configuration, half of it random. */
+#define NO_CONFIG_US   FP_US_PER_S
+#define MIN_BACKOFF_US (100 * FP_US_PER_MS)
+#define MAX_BACKOFF_US (800 * FP_US_PER_MS)
 
 /* --- tasks --- */
 
@@ -87,6 +91,21 @@
 	t->backoff_us = MIN_BACKOFF_US;
 }
 
+static const char *const call_names[FP_DIRECTORY_CALL_COUNT] = {
+	"secret", "config", "list", "watch", "record", "lease", "renewal",
+};
+
+const char *fp_directory_call_name(enum fp_directory_call c)
+{
+	return call_names[c];
+}
+
+uint32_t fp_directory_calls(const struct fp_directory *d,
+			    enum fp_directory_call c)
+{
+	return d->calls[c];
+}
+
 /* --- secret --- */
 
 static void on_secret_written(void *ctx, const struct fp_registry_result *r)
@@ -107,6 +126,7 @@
 	uint8_t secret[FP_DIRECTORY_SECRET_BYTES];
 
 	randombytes_buf(secret, sizeof(secret));
+	d->calls[FP_DIRECTORY_SECRET]++;
 	d->cfg.registry->ops->put(d->cfg.registry, SECRET_KEY, secret,
 				  sizeof(secret), 0, 0, on_secret_written, d);
 	sodium_memzero(secret, sizeof(secret));
@@ -118,6 +138,12 @@
 
 	if (d->closed)
 		return;
+	if (r->status == FP_NOT_FOUND && !d->secret_awaited) {
+		d->secret_awaited = true;
+		directory_schedule(&d->secret,
+				   randombytes_uniform(SECRET_WAIT_US));
+		return;
+	}
 	if (r->status == FP_NOT_FOUND) {
 		create_secret(d);
 		return;
@@ -132,23 +158,32 @@
 	d->ops.secret(d->ops.ctx, r->items[0].value);
 }
 
+/* The secret never changes, so an old read of it is as good as a new one. If it
+ * is missing, the nodes of a fleet that starts wait for different times, and the
+ * first one creates it for all. */
 static void step_secret(struct fp_directory *d)
 {
-	d->cfg.registry->ops->get(d->cfg.registry, SECRET_KEY, on_secret, d);
+	d->calls[FP_DIRECTORY_SECRET]++;
+	d->cfg.registry->ops->get(d->cfg.registry, SECRET_KEY,
+				  !d->secret_awaited, on_secret, d);
 }
 
 /* --- config --- */
 
-/* Returns whether the record could be decoded. */
-static bool apply_config(struct fp_directory *d,
-			 const struct fp_registry_item *it)
+void directory_text_clear(struct directory_text *t)
+{
+	free(t->text);
+	memset(t, 0, sizeof(*t));
+}
+
+bool directory_apply_config(struct fp_directory *d, const char *text,
+			    size_t bytes, uint64_t item_revision)
 {
 	struct fp_config *c;
 
-	if (d->cfg.dialect->config((const char *)it->value, it->value_bytes,
-				   &c) != FP_OK) {
+	if (d->cfg.dialect->config(text, bytes, &c) != FP_OK) {
 		fp_log(FP_LOG_ERROR, "config_refused",
-		       "item_revision=%" PRIu64 " why=\"%s\"", it->revision,
+		       "item_revision=%" PRIu64 " why=\"%s\"", item_revision,
 		       fp_last_message());
 		return false;
 	}
@@ -166,6 +201,21 @@
 	return true;
 }
 
+/* Keeps a record for followers that ask for it. */
+static void keep_text(struct fp_directory *d, const struct fp_registry_item *it)
+{
+	struct directory_text *t = &d->read_text;
+
+	directory_text_clear(t);
+	t->text = malloc(it->value_bytes + 1);
+	if (!t->text)
+		abort();
+	memcpy(t->text, it->value, it->value_bytes);
+	t->bytes = (uint32_t)it->value_bytes;
+	t->total_bytes = t->bytes;
+	t->item_revision = it->revision;
+}
+
 static void on_config(void *ctx, const struct fp_registry_result *r)
 {
 	struct fp_directory *d = ctx;
@@ -174,14 +224,28 @@
 
 	if (d->closed)
 		return;
+	if (r->status == FP_NOT_FOUND && !d->config_item_revision) {
+		directory_schedule(
+			&d->config,
+			NO_CONFIG_US / 2 +
+				randombytes_uniform(NO_CONFIG_US / 2));
+		return;
+	}
 	if (r->status != FP_OK || !r->n_items) {
 		directory_task_failed(&d->config, r->status);
+		directory_own_read_failed(d);
 		directory_answer_followers(d, FP_UNAVAILABLE);
 		return;
 	}
+	d->n_delegates_failed = 0;
+	d->config_read_us = d->config_requested_us;
 	directory_task_succeeded(&d->config);
 	if (r->items[0].revision != d->config_item_revision)
-		d->config_valid = apply_config(d, &r->items[0]);
+		d->config_valid = directory_apply_config(
+			d, (const char *)r->items[0].value,
+			r->items[0].value_bytes, r->items[0].revision);
+	if (r->items[0].revision != d->read_text.item_revision)
+		keep_text(d, &r->items[0]);
 	d->config_item_revision = r->items[0].revision;
 	/* A record that cannot be decoded may withdraw a key, so the old
 	 * configuration must not be confirmed as fresh. */
@@ -195,12 +259,15 @@
 {
 	if (d->delegate_pending)
 		directory_delegate_timed_out(d);
+	if (d->record_pending)
+		directory_record_timed_out(d);
 	else if (directory_query_delegate(d))
 		return;
 	d->newer_reported = false;
 	d->config_requested_us = fp_mono_us(d->cfg.clock);
+	d->calls[FP_DIRECTORY_CONFIG]++;
 	d->cfg.registry->ops->get(d->cfg.registry, d->cfg.dialect->config_key,
-				  on_config, d);
+				  false, on_config, d);
 }
 
 /* --- init and end --- */
@@ -255,6 +322,8 @@
 
 	if (!d)
 		return;
+	directory_text_clear(&d->read_text);
+	directory_text_clear(&d->received);
 	while ((k = d->followers)) {
 		d->followers = k->next;
 		free(k);
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -89,6 +89,24 @@
 /** Revision of the configuration in force; 0: none. */
 uint64_t fp_directory_revision(const struct fp_directory *d);
 
+/** Calls to the store, by cause. */
+enum fp_directory_call {
+	FP_DIRECTORY_SECRET, /**< reads and creation of the secret */
+	FP_DIRECTORY_CONFIG, /**< reads of the configuration */
+	FP_DIRECTORY_LIST, /**< listings of all members */
+	FP_DIRECTORY_WATCH, /**< watches of members */
+	FP_DIRECTORY_RECORD, /**< writes of this node's record */
+	FP_DIRECTORY_LEASE, /**< leases opened or ended */
+	FP_DIRECTORY_RENEWAL, /**< renewals of the lease; they cost less */
+	FP_DIRECTORY_CALL_COUNT
+};
+
+/** Returns the lower-case name of a cause. */
+const char *fp_directory_call_name(enum fp_directory_call c);
+/** Number of calls for a cause since the start. */
+uint32_t fp_directory_calls(const struct fp_directory *d,
+			    enum fp_directory_call c);
+
 /** Stops timers and callbacks; call before the registry is ended. */
 void fp_directory_close(struct fp_directory *d);
 /** Frees the directory; call after the registry was ended. */
--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -27,6 +27,9 @@
 #define NODES_PREFIX "fulmar/nodes/"
 /* Pause between watches, so that a watch returns several changes at once. */
 #define BATCH_US (400 * FP_US_PER_MS)
+/* A follower whose delegate does not send the changes yet pauses this many times
+ * as long after its later watches. */
+#define MAX_FOLLOWER_BATCHES 3
 /* Interval between checks that the delegate still sends changes of members. */
 #define FEED_CHECK_US (500 * FP_US_PER_MS)
 #define WATCH_MAX_US  (20 * FP_US_PER_S) /* the store allows 30 s */
@@ -177,6 +180,7 @@
 	snprintf(key, sizeof(key), "%s%s", NODES_PREFIX, d->cfg.self.name);
 	d->write_pending = true;
 	d->dirty = false;
+	d->calls[FP_DIRECTORY_RECORD]++;
 	d->cfg.registry->ops->put(d->cfg.registry, key, text, strlen(text),
 				  d->lease, FP_REGISTRY_ANY, on_written, d);
 	free(text);
@@ -220,20 +224,25 @@
 	struct fp_registry *r = d->cfg.registry;
 
 	if (d->leaving) {
-		if (d->lease)
+		if (d->lease) {
+			d->calls[FP_DIRECTORY_LEASE]++;
 			r->ops->end_lease(r, d->lease, ignore, d);
+		}
 		d->lease = 0;
 		return;
 	}
 	if (!d->has_members)
 		return; /* the listing may have a member_since_ms to inherit */
 	d->keep_requested_us = fp_mono_us(d->cfg.clock);
-	if (!d->lease)
+	if (!d->lease) {
+		d->calls[FP_DIRECTORY_LEASE]++;
 		r->ops->open_lease(r, LEASE_US, on_lease, d);
-	else if (!d->written)
+	} else if (!d->written) {
 		write_self(d);
-	else
+	} else {
+		d->calls[FP_DIRECTORY_RENEWAL]++;
 		r->ops->keep_lease(r, d->lease, on_renewed, d);
+	}
 }
 
 /* Writes a change of the own record at once, unless a call is in flight. */
@@ -443,6 +452,17 @@
 	return wait_us;
 }
 
+/* Most watches of a fleet that starts would only report what the delegate sends
+ * a moment later. */
+static int64_t watch_pause_us(struct fp_directory *d)
+{
+	if (directory_reads_store(d))
+		d->n_own_watches = 0;
+	else if (d->n_own_watches < MAX_FOLLOWER_BATCHES)
+		d->n_own_watches++;
+	return BATCH_US * (d->n_own_watches ? d->n_own_watches : 1);
+}
+
 static void on_members(void *ctx, const struct fp_registry_result *r)
 {
 	struct fp_directory *d = ctx;
@@ -484,7 +504,7 @@
 	if (first)
 		directory_schedule(&d->own_record, 0);
 	directory_notify_followers(d);
-	directory_schedule(&d->members, BATCH_US);
+	directory_schedule(&d->members, watch_pause_us(d));
 }
 
 void directory_step_members(struct fp_directory *d)
@@ -501,6 +521,8 @@
 		return;
 	}
 	d->members_pending = true;
+	d->calls[d->members_revision ? FP_DIRECTORY_WATCH :
+				       FP_DIRECTORY_LIST]++;
 	if (d->members_revision)
 		r->ops->watch(r, NODES_PREFIX, d->members_revision, wait_us,
 			      on_members, d);
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -23,6 +23,7 @@
 	 * store became reachable again; 0: the record is present. */
 	int64_t missing_us;
 	bool listed; /* present in the listing being processed */
+	int64_t suspended_until_us; /* not used as a delegate before */
 	struct directory_record *next;
 };
 
@@ -44,7 +45,16 @@
 	bool unpublished; /* updates were applied but not published */
 };
 
+/* The text of a configuration record. */
+struct directory_text {
+	char *text; /* malloc'd; NULL: none */
+	uint32_t bytes; /* present */
+	uint32_t total_bytes;
+	uint64_t item_revision;
+};
+
 struct fp_directory {
+	uint32_t calls[FP_DIRECTORY_CALL_COUNT]; /* to the store */
 	struct fp_loop *loop;
 	struct fp_directory_config cfg;
 	struct fp_directory_ops ops;
@@ -54,6 +64,7 @@
 	struct directory_task members;
 	bool closed;
 	bool has_secret;
+	bool secret_awaited; /* missing; another node may be creating it */
 	bool config_valid; /* the last configuration record was decoded */
 	bool delegate_pending; /* a request to the delegate is open */
 	bool newer_reported; /* the delegate reported a newer configuration */
@@ -63,9 +74,16 @@
 	uint64_t revision; /* of the configuration in force */
 	uint64_t config_item_revision; /* store revision of the last read */
 	int64_t config_requested_us; /* last request to store or delegate */
+	int64_t config_read_us; /* request of the last read that the store
+				 * answered; 0: none */
 	uint64_t request_id; /* of the last request to a delegate */
-	int64_t direct_until_us; /* no delegate is used before that time */
+	int64_t own_suspended_until_us; /* the store refuses this node */
+	int64_t serves_until_us; /* reads the store for those that asked */
+	uint32_t n_delegates_failed; /* since the last confirmation */
 	uint64_t delegate_id; /* process id of the last one, for the log */
+	struct directory_text read_text; /* last record read from the store */
+	struct directory_text received; /* parts from the delegate */
+	bool record_pending; /* a request for them is open */
 	struct directory_follower *followers;
 	uint64_t lease; /* 0: none */
 	int64_t lease_requested_us; /* start of the call that last opened or
@@ -78,6 +96,7 @@
 	bool leaving;
 	bool has_members; /* all records were listed at least once */
 	bool failed_since_listing; /* a members call failed since it */
+	uint32_t n_own_watches; /* of a follower without updates, in a row */
 	bool members_pending; /* a members call to the store is in flight */
 	uint64_t members_revision; /* store revision up to which changes are
 				    * known; 0: list all records */
@@ -87,6 +106,14 @@
 	struct directory_record *records;
 };
 
+/* --- directory.c: configuration --- */
+
+/** Applies a record of the store; returns whether it could be decoded. */
+bool directory_apply_config(struct fp_directory *d, const char *text,
+			    size_t bytes, uint64_t item_revision);
+/** Frees the text of a record. */
+void directory_text_clear(struct directory_text *t);
+
 /* --- directory.c: tasks --- */
 
 /** Schedules a task's next step. */
@@ -101,6 +128,13 @@
 /** Requests the configuration's revision from the delegate; false: there is no
  *  usable delegate, and the caller has to read the store. */
 bool directory_query_delegate(struct fp_directory *d);
+/** Whether this node reads the store for its domain, or has no delegate. */
+bool directory_reads_store(const struct fp_directory *d);
+/** Handles a read of the configuration that the store did not answer: asks
+ *  another member, if there is one. */
+void directory_own_read_failed(struct fp_directory *d);
+/** Handles a delegate that did not send the record in time: reads the store. */
+void directory_record_timed_out(struct fp_directory *d);
 /** Handles a delegate that did not answer in time. */
 void directory_delegate_timed_out(struct fp_directory *d);
 /** Answers all open requests, with the result of the call to the store. */
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -53,8 +53,9 @@
 
 /** Operations of a registry. */
 struct fp_registry_ops {
-	/** Reads one item; the read is linearizable. */
-	void (*get)(struct fp_registry *r, const char *key,
+	/** Reads one item. The read is linearizable, unless may_be_old: then it
+	 *  is cheaper, and may be seconds old. */
+	void (*get)(struct fp_registry *r, const char *key, bool may_be_old,
 		    fp_registry_done_fn done, void *ctx);
 	/** Reads all items under a prefix. */
 	void (*list)(struct fp_registry *r, const char *prefix,
--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -24,6 +24,8 @@
  * that the store, which responds within 4 ms, receives the request in time. */
 #define LEAVE_US (100 * FP_US_PER_MS)
 
+/* Interval of the line with the calls to the store. */
+#define CALLS_LOG_US (10 * FP_US_PER_S)
 /* Interval of checks of the settings file. */
 #define SETTINGS_CHECK_US (2 * FP_US_PER_S)
 
@@ -41,6 +43,7 @@
 	const char *settings_path;
 	struct stat settings_seen; /* state of the file at the last check */
 	struct fp_timer settings_timer; /* next check of the file */
+	struct fp_timer calls_timer; /* next line with the calls to the store */
 	struct fp_timer leave_timer; /* end of the lease during a stop */
 	void (*stopped)(void *ctx);
 	void *stopped_ctx;
@@ -96,6 +99,39 @@
 	fp_traffic_send(h->traffic, addr, m);
 }
 
+/* --- calls to the store --- */
+
+static void set_call_counters(struct fp_hosted *h)
+{
+	char label[64];
+	int i;
+
+	for (i = 0; i < FP_DIRECTORY_CALL_COUNT; i++) {
+		snprintf(label, sizeof(label), "cause=\"%s\"",
+			 fp_directory_call_name(i));
+		fp_counter_set(fp_counter_get(h->counters,
+					      "fulmar_directory_calls_total",
+					      label),
+			       fp_directory_calls(h->directory, i));
+	}
+}
+
+static void log_calls(void *ctx)
+{
+	struct fp_hosted *h = ctx;
+	char text[256];
+	size_t n = 0;
+	int i;
+
+	for (i = 0; i < FP_DIRECTORY_CALL_COUNT && n < sizeof(text); i++)
+		n += (size_t)snprintf(text + n, sizeof(text) - n, "%s%s=%u",
+				      i ? " " : "", fp_directory_call_name(i),
+				      fp_directory_calls(h->directory, i));
+	fp_log(FP_LOG_INFO, "store_calls", "%s", text);
+	fp_timer_set(h->loop, &h->calls_timer,
+		     fp_loop_now_us(h->loop) + CALLS_LOG_US, log_calls, h);
+}
+
 /* --- admin listener --- */
 
 static void reply_metrics(struct fp_hosted *h, struct fp_http_exchange *x)
@@ -104,7 +140,10 @@
 		"Content-Type", "text/plain; version=0.0.4"
 	};
 	size_t len = 0;
-	char *text = fp_counters_render(h->counters, &len);
+	char *text;
+
+	set_call_counters(h);
+	text = fp_counters_render(h->counters, &len);
 
 	fp_http_reply(x, text ? 200 : 500, &type, 1, text ? text : "", len);
 	free(text);
@@ -278,6 +317,7 @@
 	if (stat(h->settings_path, &h->settings_seen) != 0)
 		memset(&h->settings_seen, 0, sizeof(h->settings_seen));
 	check_settings(h);
+	log_calls(h);
 }
 
 void fp_hosted_watch_settings(struct fp_hosted *h, const char *path)
--- a/src/protocol/msg_shared.c
+++ b/src/protocol/msg_shared.c
@@ -407,6 +407,21 @@
 	code_u32(c, &m->member_changes_end.n_changes);
 }
 
+static void code_config_request(struct codec *c, struct fp_msg_shared *m)
+{
+	code_u64(c, &m->config_request.item_revision, UINT64_MAX);
+	code_u64(c, &m->config_request.known_revision, UINT64_MAX);
+}
+
+static void code_config_part(struct codec *c, struct fp_msg_shared *m)
+{
+	code_u64(c, &m->config_part.item_revision, UINT64_MAX);
+	code_span(c, &m->config_part.age_us);
+	code_u32(c, &m->config_part.total_bytes);
+	code_u32(c, &m->config_part.offset);
+	code_text(c, m->config_part.text, FP_CONFIG_PART_BYTES, 1);
+}
+
 /* Number of fields and the function that codes them, by type. */
 static const struct layout {
 	uint32_t n_fields;
@@ -437,6 +452,9 @@
 		FP_MSG_GRANT_REQUEST] = { 5, code_member_change },
 	[FP_MSG_MEMBER_CHANGES_END -
 		FP_MSG_GRANT_REQUEST] = { 3, code_member_changes_end },
+	[FP_MSG_CONFIG_REQUEST -
+		FP_MSG_GRANT_REQUEST] = { 2, code_config_request },
+	[FP_MSG_CONFIG_PART - FP_MSG_GRANT_REQUEST] = { 5, code_config_part },
 	[FP_MSG_RATE_SHARE_COMMIT -
 		FP_MSG_GRANT_REQUEST] = { 7, code_share_commit },
 	[FP_MSG_RATE_SHARE_RESPONSE -
--- a/src/protocol/msg_shared.h
+++ b/src/protocol/msg_shared.h
@@ -35,6 +35,8 @@
 	FP_MSG_MEMBER_CHANGE, /**< before the response: one changed member
 			      *   record, same id */
 	FP_MSG_MEMBER_CHANGES_END, /**< after the last change, same id */
+	FP_MSG_CONFIG_REQUEST, /**< follower to delegate */
+	FP_MSG_CONFIG_PART, /**< response to it, in several messages */
 	FP_MSG_RATE_SHARE_COMMIT, /**< holder of a rate share to owner */
 	FP_MSG_RATE_SHARE_RESPONSE, /**< response to it */
 	FP_MSG_SHARED_END
@@ -46,6 +48,9 @@
 /** Longest text of a member record in a message, bytes with NUL. */
 #define FP_MEMBER_RECORD_BYTES 640
 
+/** Longest text of a part of the configuration record, bytes with NUL. */
+#define FP_CONFIG_PART_BYTES 2048
+
 /** Requests tokens; the id of the message identifies the request. */
 struct fp_grant_request {
 	char org[FP_NAME_BYTES];
@@ -165,6 +170,21 @@
 	uint32_t n_changes; /**< changes sent with this base_revision */
 };
 
+/** Requests the configuration record that the receiver has read. */
+struct fp_config_request {
+	uint64_t item_revision; /**< store revision of the record's item */
+	uint64_t known_revision; /**< that of the record that the sender has */
+};
+
+/** A part of the configuration record; parts are sent in order. */
+struct fp_config_part {
+	uint64_t item_revision; /**< store revision of the record's item */
+	int64_t age_us; /**< time since the store was read */
+	uint32_t total_bytes; /**< of the record */
+	uint32_t offset; /**< of this part */
+	char text[FP_CONFIG_PART_BYTES];
+};
+
 /** Commits a rate share of an organisation to the receiver's bucket, releases
  *  it, or probes the receiver's clock. */
 struct fp_rate_share_commit {
@@ -198,6 +218,8 @@
 		struct fp_confirm_response confirm_response;
 		struct fp_member_change member_change;
 		struct fp_member_changes_end member_changes_end;
+		struct fp_config_request config_request;
+		struct fp_config_part config_part;
 		struct fp_rate_share_commit share_commit;
 		struct fp_rate_share_response share_response;
 	};
--- a/test/directory_sim.h
+++ b/test/directory_sim.h
@@ -25,6 +25,8 @@
 		uint64_t lease;
 	};
 	std::map<std::string, item> items;
+	bool has_old = false; /* reads that may be old see old_items */
+	std::map<std::string, item> old_items;
 	std::map<uint64_t, bool> leases;
 	uint64_t revision = 10;
 	uint64_t next_lease = 100;
@@ -218,14 +220,16 @@
 				w.done, w.ctx, FP_TIMEOUT, 0, 0, {}, {} });
 	}
 
-	static void get(struct fp_registry *r, const char *key,
+	static void get(struct fp_registry *r, const char *key, bool may_be_old,
 			fp_registry_done_fn done, void *ctx)
 	{
 		fake_registry *f = of(r);
-		pending *p = f->start("get", done, ctx);
-		auto i = f->items.find(key);
+		pending *p =
+			f->start(may_be_old ? "get_old" : "get", done, ctx);
+		auto &from = may_be_old && f->has_old ? f->old_items : f->items;
+		auto i = from.find(key);
 
-		if (p->status == FP_OK && i == f->items.end())
+		if (p->status == FP_OK && i == from.end())
 			p->status = FP_NOT_FOUND;
 		else if (p->status == FP_OK)
 			p->items.push_back(*i);
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -8,6 +8,7 @@
 {
 	store.write("op/config", config_json(1));
 	start();
+	run_ms(300); /* longest wait for another node to create it */
 	ASSERT_EQ(1u, secrets.size());
 	EXPECT_EQ(secrets[0], store.items["fulmar/secret"].value);
 	EXPECT_TRUE(fp_directory_is_ready(d));
--- a/test/test_directory_fleet.cc
+++ b/test/test_directory_fleet.cc
@@ -26,8 +26,81 @@
 	randombytes_set_implementation(&impl);
 }
 
+/* The way of one node to the shared store, which may refuse it. */
+struct Access {
+	struct fp_registry registry; /* first member */
+	fake_registry *store;
+	bool refused;
+
+	static Access *of(struct fp_registry *r)
+	{
+		return reinterpret_cast<Access *>(r);
+	}
+	/* Makes the store answer this node's next call as it should. */
+	struct Scope {
+		fake_registry *store;
+		enum fp_status before;
+
+		explicit Scope(struct fp_registry *r)
+		    : store(of(r)->store), before(store->fail_status)
+		{
+			if (of(r)->refused)
+				store->fail_status = FP_UNAVAILABLE;
+		}
+		~Scope()
+		{
+			store->fail_status = before;
+		}
+		struct fp_registry *operator*() const
+		{
+			return &store->registry;
+		}
+	};
+	static void get(struct fp_registry *r, const char *key, bool may_be_old,
+			fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry::get(*Scope(r), key, may_be_old, done, ctx);
+	}
+	static void list(struct fp_registry *r, const char *prefix,
+			 fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry::list(*Scope(r), prefix, done, ctx);
+	}
+	static void watch(struct fp_registry *r, const char *prefix,
+			  uint64_t after, int64_t wait_us,
+			  fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry::watch(*Scope(r), prefix, after, wait_us, done,
+				     ctx);
+	}
+	static void put(struct fp_registry *r, const char *key,
+			const void *value, size_t bytes, uint64_t lease,
+			uint64_t expect, fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry::put(*Scope(r), key, value, bytes, lease, expect,
+				   done, ctx);
+	}
+	static void open_lease(struct fp_registry *r, int64_t ttl_us,
+			       fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry::open_lease(*Scope(r), ttl_us, done, ctx);
+	}
+	static void keep_lease(struct fp_registry *r, uint64_t lease,
+			       fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry::keep_lease(*Scope(r), lease, done, ctx);
+	}
+	static void end_lease(struct fp_registry *r, uint64_t lease,
+			      fp_registry_done_fn done, void *ctx)
+	{
+		fake_registry::end_lease_op(*Scope(r), lease, done, ctx);
+	}
+};
+
 struct Node {
 	std::string name, domain, addr;
+	Access access = {};
+	int64_t confirmed_us = 0; /* request time of the last confirmation */
 	struct fp_directory *d = nullptr;
 	std::map<std::string, struct fp_member> members;
 	class DirectoryFleet *fleet = nullptr;
@@ -73,6 +146,16 @@
 		struct fp_directory_ops ops = {};
 		struct fp_directory_config c = cfg;
 
+		static const struct fp_registry_ops access_ops = {
+			Access::get,	    Access::list,
+			Access::watch,	    Access::put,
+			Access::open_lease, Access::keep_lease,
+			Access::end_lease,  nullptr,
+		};
+
+		n.access.registry.ops = &access_ops;
+		n.access.store = &store;
+		c.registry = &n.access.registry;
 		init_member(&c.self, n.name.c_str(), ++id);
 		strcpy(c.self.peer_addr, n.addr.c_str());
 		strcpy(c.self.failure_domain, n.domain.c_str());
@@ -88,7 +171,9 @@
 			free(m);
 		};
 		ops.secret = [](void *, const uint8_t *) {};
-		ops.config_confirmed = [](void *, int64_t) {};
+		ops.config_confirmed = [](void *ctx, int64_t requested_us) {
+			static_cast<Node *>(ctx)->confirmed_us = requested_us;
+		};
 		ops.share_validity = [](void *,
 					const struct fp_share_validity *) {};
 		ops.send = [](void *ctx, const char *addr,
@@ -185,6 +270,19 @@
 		return *nodes[0];
 	}
 
+	/* Age of the oldest confirmation of a running node. */
+	int64_t max_confirmation_age_us()
+	{
+		int64_t age_us = 0;
+
+		for (auto &n : nodes)
+			if (n->d)
+				age_us = std::max(age_us,
+						  fp_mono_us(&clock.clock) -
+							  n->confirmed_us);
+		return age_us;
+	}
+
 	int member_calls()
 	{
 		return store.calls["list"] + store.calls["watch"];
@@ -232,6 +330,106 @@
 		EXPECT_EQ(77u, n->members[nodes[5]->name].slots) << n->name;
 }
 
+/* A fleet that starts for the first time creates one secret, with about two
+ * calls a node instead of three. */
+TEST_F(DirectoryFleet, AStartingFleetCreatesTheSecretOnce)
+{
+	uint32_t n_calls = 0;
+
+	store.write("op/config", config_json(5));
+	for (int i = 0; i < 40; i++)
+		add(i, 4);
+	run_fleet_ms(1000);
+	for (auto &n : nodes)
+		n_calls += fp_directory_calls(n->d, FP_DIRECTORY_SECRET);
+	EXPECT_LE(n_calls, 2 * 40 + 4u);
+}
+
+/* A new record is read once in each domain and is in force everywhere within
+ * the two seconds of the bound. */
+TEST_F(DirectoryFleet, ANewRecordIsReadOnceInEachDomain)
+{
+	store.write("op/config", config_json(5));
+	for (int i = 0; i < 40; i++)
+		add(i, 4);
+	run_fleet_ms(25000);
+	int gets_before = store.calls["get"];
+	store.write("op/config", config_json(6));
+	run_fleet_ms(2000);
+	for (auto &n : nodes)
+		EXPECT_EQ(6u, fp_directory_revision(n->d)) << n->name;
+	EXPECT_LE(store.calls["get"] - gets_before, 4 * 3);
+}
+
+/* Nodes that the store refuses still get a record that withdraws keys. */
+TEST_F(DirectoryFleet, NodesThatTheStoreRefusesGetNewRecords)
+{
+	store.write("op/config", config_json(5));
+	for (int i = 0; i < 24; i++)
+		add(i, 2);
+	run_fleet_ms(25000);
+	for (int i = 0; i < 24; i += 3)
+		nodes[i]->access.refused = true;
+	run_fleet_ms(3000);
+	store.write("op/config", config_json(6));
+	run_fleet_ms(2000);
+	for (auto &n : nodes)
+		EXPECT_EQ(6u, fp_directory_revision(n->d)) << n->name;
+	EXPECT_LT(max_confirmation_age_us(), 2500000);
+}
+
+/* The followers of a lost delegate meet at its successor; they do not all read
+ * the store until the record of the lost one is gone. */
+TEST_F(DirectoryFleet, ALostDelegateHasOneSuccessor)
+{
+	store.write("op/config", config_json(5));
+	for (int i = 0; i < 40; i++)
+		add(i, 4);
+	run_fleet_ms(25000);
+	int gets_before = store.calls["get"];
+	int member_calls_before = member_calls();
+	stop_node(*nodes[0]);
+	int64_t max_age_us = 0;
+	for (int i = 0; i < 100; i++) {
+		run_fleet_ms(50);
+		max_age_us = std::max(max_age_us, max_confirmation_age_us());
+	}
+	/* One read a second and domain, and the change to the successor. */
+	EXPECT_LE(store.calls["get"] - gets_before, 4 * 6);
+	EXPECT_LE(member_calls() - member_calls_before, 8);
+	EXPECT_LT(max_age_us, 3500000);
+}
+
+/* The store refuses a third of the nodes, delegates among them. Each of them is
+ * confirmed by members that the store serves, within the 4.4 s after which keys
+ * are refused. */
+TEST_F(DirectoryFleet, NodesThatTheStoreRefusesAreConfirmedByOthers)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		random.seed(seed);
+		seed_jitter(seed);
+		store.write("op/config", config_json(5));
+		for (int i = 0; i < 24; i++)
+			add(i, 2);
+		run_fleet_ms(25000);
+		for (auto &n : nodes)
+			n->access.refused = chance() < 0.35;
+		nodes[0]->access.refused = true;
+		int64_t max_age_us = 0;
+		for (int i = 0; i < 180; i++) {
+			run_fleet_ms(50);
+			max_age_us =
+				std::max(max_age_us, max_confirmation_age_us());
+		}
+		EXPECT_LT(max_age_us, 4400000) << "seed " << seed;
+		for (auto &n : nodes)
+			stop_node(*n);
+		nodes.clear();
+		store.items.clear();
+		run_fleet_ms(10);
+	}
+}
+
 /*
  * Nodes end, restart and change, messages are lost, the store fails, drops its
  * history and aborts watches. Afterwards every node must list exactly the
--- a/test/test_directory_relay.cc
+++ b/test/test_directory_relay.cc
@@ -44,6 +44,74 @@
 		fp_directory_message(d, "10.0.0.2:80", &m);
 	}
 
+	/* The messages in which the delegate sends a record, for the last
+	 * request. */
+	std::vector<struct fp_msg_shared>
+	record_parts(const std::string &text, size_t part_bytes, int64_t age_us)
+	{
+		std::vector<struct fp_msg_shared> parts;
+
+		for (size_t at = 0; at < text.size(); at += part_bytes) {
+			struct fp_msg_shared m = {};
+
+			m.type = FP_MSG_CONFIG_PART;
+			m.id = sent.back().second.id;
+			m.config_part.item_revision =
+				store.items["op/config"].revision;
+			m.config_part.age_us = age_us;
+			m.config_part.total_bytes = (uint32_t)text.size();
+			m.config_part.offset = (uint32_t)at;
+			strcpy(m.config_part.text,
+			       text.substr(at, part_bytes).c_str());
+			parts.push_back(m);
+		}
+		return parts;
+	}
+
+	void send_record(const std::string &text, size_t part_bytes,
+			 int64_t age_us)
+	{
+		for (auto &m : record_parts(text, part_bytes, age_us))
+			fp_directory_message(d, "10.0.0.2:80", &m);
+	}
+
+	/* Writes record 6 and has the delegate report it. */
+	void report_newer_record()
+	{
+		follow();
+		run_answering_ms(3000, 300, 5000);
+		store.write("op/config", config_json(6));
+		size_t n_requests = sent.size();
+		while (sent.size() == n_requests)
+			run_ms(1);
+		confirmed_before_us = confirmed_us;
+		gets_before = store.calls["get"];
+		answer(FP_OK, store.items["op/config"].revision, 0,
+		       sent.back().second.id);
+		/* Does not confirm the old record. */
+		EXPECT_EQ(confirmed_before_us, confirmed_us);
+		ASSERT_EQ(FP_MSG_CONFIG_REQUEST, sent.back().second.type);
+		ASSERT_EQ(store.items["op/config"].revision,
+			  sent.back().second.config_request.item_revision);
+	}
+
+	int64_t confirmed_before_us = 0; /* as the newer record is reported */
+	int gets_before = 0;
+
+	/* Ends the directory and forgets what it did. */
+	void restart()
+	{
+		fp_directory_close(d);
+		run_ms(10); /* answers of open calls */
+		fp_directory_end(d);
+		d = nullptr;
+		store.items.clear();
+		store.watches.clear();
+		sent.clear();
+		revisions.clear();
+		confirmed_us = 0;
+	}
+
 	/* Runs, and answers each request as the delegate, after after_ms. */
 	void run_answering_ms(int ms, int after_ms, int64_t age_us)
 	{
@@ -116,24 +184,116 @@
 	EXPECT_EQ(gets_before + 1, store.calls["get"]);
 }
 
-TEST_F(Follower, ReadsANewerRecordAtOnce)
+TEST_F(Follower, GetsANewerRecordFromItsDelegateAtOnce)
 {
-	follow();
-	run_answering_ms(3000, 300, 5000);
-	store.write("op/config", config_json(6));
-	size_t n_requests = sent.size();
-	while (sent.size() == n_requests)
-		run_ms(1);
-	int64_t confirmed_before_us = confirmed_us;
-	answer(FP_OK, store.items["op/config"].revision, 0,
-	       sent.back().second.id);
-	/* Does not confirm the old record. */
-	EXPECT_EQ(confirmed_before_us, confirmed_us);
+	report_newer_record();
+	int64_t requested_us = fp_mono_us(&clock.clock);
 	run_ms(10);
+	send_record(store.items["op/config"].value, 20, 3000);
+	EXPECT_EQ(6u, revisions.back());
+	EXPECT_EQ(requested_us - 3000, confirmed_us);
+	EXPECT_EQ(gets_before, store.calls["get"]);
+	run_answering_ms(3000, 300, 5000);
+	EXPECT_EQ(gets_before, store.calls["get"]);
+	EXPECT_GT(confirmed_us, requested_us);
+}
+
+TEST_F(Follower, ReadsTheStoreWhenTheRecordDoesNotCome)
+{
+	report_newer_record();
+	run_ms(320);
+	EXPECT_EQ(gets_before + 1, store.calls["get"]);
 	EXPECT_EQ(6u, revisions.back());
 	EXPECT_GT(confirmed_us, confirmed_before_us);
 }
 
+TEST_F(Follower, ADoubledPartIsIgnored)
+{
+	report_newer_record();
+	auto parts = record_parts(store.items["op/config"].value, 20, 0);
+	for (auto &m : parts) {
+		fp_directory_message(d, "10.0.0.2:80", &m);
+		fp_directory_message(d, "10.0.0.2:80", &m);
+	}
+	EXPECT_EQ(6u, revisions.back());
+	EXPECT_EQ(2u, revisions.size());
+	EXPECT_EQ(gets_before, store.calls["get"]);
+}
+
+/* Parts that are lost, or of another record, request or length. */
+TEST_F(Follower, AnIncompleteRecordIsNotApplied)
+{
+	for (int fault = 0; fault < 4; fault++) {
+		SCOPED_TRACE(fault);
+		report_newer_record();
+		std::string text = store.items["op/config"].value;
+		uint64_t item = store.items["op/config"].revision;
+		std::vector<struct fp_msg_shared> parts =
+			record_parts(text, 20, 0);
+
+		if (fault == 0)
+			parts.erase(parts.begin() + 1);
+		if (fault == 1)
+			parts[1].config_part.item_revision = item + 1;
+		if (fault == 2)
+			parts[1].id++;
+		if (fault == 3)
+			parts[1].config_part.total_bytes = UINT32_MAX;
+		for (auto &m : parts)
+			fp_directory_message(d, "10.0.0.2:80", &m);
+		EXPECT_EQ(confirmed_before_us, confirmed_us);
+		EXPECT_EQ(5u, revisions.back());
+		run_ms(320);
+		EXPECT_EQ(6u, revisions.back());
+		EXPECT_EQ(gets_before + 1, store.calls["get"]);
+		restart();
+	}
+}
+
+/* An older record, as after a switch to a delegate that lags behind. */
+TEST_F(Follower, AnOlderRecordIsNotApplied)
+{
+	report_newer_record();
+	auto parts = record_parts(config_json(4), 20, 0);
+	for (auto &m : parts) {
+		m.config_part.item_revision = 1;
+		fp_directory_message(d, "10.0.0.2:80", &m);
+	}
+	EXPECT_EQ(confirmed_before_us, confirmed_us);
+	EXPECT_EQ(5u, revisions.back());
+}
+
+TEST_F(Directory, ADelegateSendsItsRecordInParts)
+{
+	struct fp_msg_shared request = {};
+	std::string text = config_json(5) + std::string(5000, ' ');
+	std::string got;
+
+	store.write("op/config", text);
+	start();
+	run_ms(1500);
+	request.type = FP_MSG_CONFIG_REQUEST;
+	request.id = 78;
+	request.config_request.item_revision =
+		store.items["op/config"].revision + 1;
+	fp_directory_message(d, "10.0.0.9:80", &request);
+	EXPECT_TRUE(sent.empty()); /* it does not have that one */
+	request.config_request.item_revision--;
+	fp_directory_message(d, "10.0.0.9:80", &request);
+	ASSERT_EQ(3u, sent.size());
+	for (auto &s : sent) {
+		const struct fp_config_part &part = s.second.config_part;
+
+		EXPECT_EQ(FP_MSG_CONFIG_PART, s.second.type);
+		EXPECT_EQ(78u, s.second.id);
+		EXPECT_EQ(got.size(), part.offset);
+		EXPECT_EQ(text.size(), part.total_bytes);
+		EXPECT_LT(part.age_us, 1100000);
+		got += part.text;
+	}
+	EXPECT_EQ(text, got);
+}
+
 /* n1 is the first of its domain, hence the delegate. */
 TEST_F(Directory, ADelegateAnswersAfterItsNextRead)
 {
--- a/test/test_msg_shared.cc
+++ b/test/test_msg_shared.cc
@@ -78,6 +78,12 @@
 	case FP_MSG_MEMBER_CHANGE:
 		m.member_change = { 5, BIG, true, "n1", "{\"id\":1}" };
 		break;
+	case FP_MSG_CONFIG_REQUEST:
+		m.config_request = { BIG, BIG - 1 };
+		break;
+	case FP_MSG_CONFIG_PART:
+		m.config_part = { BIG, 4999999, 70000, 2047, "{\"version\":" };
+		break;
 	case FP_MSG_RATE_SHARE_COMMIT:
 		strcpy(m.share_commit.org, "parish-7");
 		m.share_commit.commitment = {
