--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -22,6 +22,7 @@
 
 #include "base/log.h"
 #include "coordination/directory_private.h"
+#include "protocol/field.h"
 #include "protocol/json.h"
 
 #define NODES_PREFIX "fulmar/nodes/"
@@ -46,6 +47,8 @@
 /* After this time the members of a fleet that starts know each other. */
 #define STARTUP_US	 FP_US_PER_S
 #define MAX_RECORD_BYTES 2048
+/* Latest wall-clock time in a record: the year 2100. */
+#define MAX_WALL_MS INT64_C(4102444800000)
 
 /* --- this node's record --- */
 
@@ -279,30 +282,53 @@
 
 /* --- the others' records --- */
 
+/* Reads a whole number from min to max; a missing one counts as 0. */
+static bool read_number(const json_t *j, const char *name, json_int_t min,
+			json_int_t max, json_int_t *out)
+{
+	const json_t *n = json_object_get(j, name);
+
+	*out = json_integer_value(n);
+	return (!n || json_is_integer(n)) && *out >= min && *out <= max;
+}
+
+/* Whether links can be opened to that address. */
+static bool is_peer_address(const char *addr)
+{
+	return strchr(addr, '[') == NULL && fp_ip_port_valid(addr);
+}
+
+/* A record may be of another writer: each field is checked before any of them
+ * is used, since the member would be offered requests and tokens. */
 static bool decode(const struct fp_registry_item *it, struct fp_member *m)
 {
 	json_t *j =
 		json_loadb((const char *)it->value, it->value_bytes, 0, NULL);
-	const json_t *id = json_object_get(j, "id");
-	const json_t *slots = json_object_get(j, "slots");
+	json_int_t id = 0;
+	json_int_t slots = 0;
+	json_int_t warm_ms = 0;
+	json_int_t since_ms = 0;
 	bool ok;
 
 	memset(m, 0, sizeof(*m));
-	ok = it->value_bytes <= MAX_RECORD_BYTES && json_is_integer(id) &&
-	     json_is_integer(slots) && json_integer_value(slots) >= 0 &&
-	     json_integer_value(slots) <= UINT32_MAX &&
+	ok = it->value_bytes <= MAX_RECORD_BYTES &&
+	     read_number(j, "id", 1, INT64_MAX, &id) &&
+	     read_number(j, "slots", 0, FP_MAX_SLOTS, &slots) &&
+	     read_number(j, "warm_ms", 0, MAX_WALL_MS, &warm_ms) &&
+	     read_number(j, "known_ms", 0, MAX_WALL_MS, &since_ms) &&
+	     json_is_boolean(json_object_get(j, "serving")) &&
 	     fp_json_text(j, "name", m->name, sizeof(m->name)) &&
 	     fp_json_text(j, "peer", m->peer_addr, sizeof(m->peer_addr)) &&
+	     is_peer_address(m->peer_addr) &&
 	     fp_json_text(j, "domain", m->failure_domain,
 			  sizeof(m->failure_domain)) &&
 	     fp_json_text(j, "region", m->region, sizeof(m->region)) &&
 	     fp_json_text(j, "service", m->service, sizeof(m->service));
 	if (ok) {
-		m->id = (uint64_t)json_integer_value(id);
-		m->slots = (uint32_t)json_integer_value(slots);
-		m->warm_ms = json_integer_value(json_object_get(j, "warm_ms"));
-		m->member_since_ms =
-			json_integer_value(json_object_get(j, "known_ms"));
+		m->id = (uint64_t)id;
+		m->slots = (uint32_t)slots;
+		m->warm_ms = warm_ms;
+		m->member_since_ms = since_ms;
 		m->serving = json_is_true(json_object_get(j, "serving"));
 	}
 	json_decref(j);
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -332,6 +332,74 @@
 	EXPECT_EQ(1u, members.count("n7"));
 }
 
+/* Odd entries of another writer among the members: they name nobody, and the
+ * others are followed as before. */
+TEST_F(Directory, OddEntriesNameNoMember)
+{
+	const char *const replaced[][2] = {
+		{ "10.0.0.2:80", "10.0.0.2:65536" },
+		{ "10.0.0.2:80", "10.0.0.2:0" },
+		{ "10.0.0.2:80", "10.0.0.2:-1" },
+		{ "10.0.0.2:80", "10.0.0.2:80x" },
+		{ "10.0.0.2:80", "10.0.0.999:80" },
+		{ "10.0.0.2:80", "10.0.0.2" },
+		{ "10.0.0.2:80", "[::1]:80" },
+		{ "\"slots\":4", "\"slots\":99999999999999999999999" },
+		{ "\"slots\":4", "\"slots\":1e400" },
+		{ "\"slots\":4", "\"slots\":4000000000" },
+		{ "\"slots\":4", "\"slots\":-4" },
+		{ "\"slots\":4", "\"slots\":\"4\"" },
+		{ "\"slots\":4",
+		  "\"slots\":4,\"known_ms\":9223372036854775807" },
+		{ "\"slots\":4",
+		  "\"slots\":4,\"warm_ms\":-9223372036854775808" },
+		{ "\"slots\":4", "\"slots\":4,\"known_ms\":[1]" },
+		{ "\"id\":9", "\"id\":-9" },
+		{ "\"id\":9", "\"id\":0" },
+		{ "\"id\":9", "\"id\":9.5" },
+		{ "true", "\"yes\"" },
+		{ "\"domain\":\"a\"", "\"domain\":\"\"" },
+		{ "\"domain\":\"a\"", "\"domain\":{\"domain\":\"a\"}" },
+	};
+	std::vector<std::string> odd = {
+		"",
+		"null",
+		"[]",
+		std::string(100000, '['),
+		std::string(2000, '['),
+		"{\"id\":" + std::string(1000, '[') + std::string(1000, ']') +
+			"}",
+		std::string("\0\xff\xfe", 3),
+	};
+
+	for (auto &r : replaced) {
+		std::string text = member_json("odd", 9, true);
+		size_t at = text.find(r[0]);
+
+		ASSERT_NE(std::string::npos, at) << r[0];
+		odd.push_back(text.replace(at, strlen(r[0]), r[1]));
+	}
+	start_with_n2(500);
+	for (auto &text : odd) {
+		store.write("fulmar/nodes/odd", text);
+		run_ms(500);
+		EXPECT_EQ(0u, members.count("odd")) << text.substr(0, 120);
+		EXPECT_EQ(2u, members.size());
+	}
+	store.write("fulmar/nodes/n3", member_json("n3", 3, true));
+	run_ms(500);
+	EXPECT_EQ(1u, members.count("n3"));
+	/* In the first listing, too. */
+	fp_directory_close(d);
+	run_ms(10);
+	fp_directory_end(d);
+	members.clear();
+	start();
+	run_ms(500);
+	EXPECT_EQ(3u, members.size());
+	EXPECT_EQ(0u, members.count("odd"));
+}
+
 /* Guards against a retry storm during an outage. The capacity page allows half
  * a store call per second for each node. */
 TEST_F(Directory, RetriesBackOffDuringAnOutage)
