--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -8,13 +8,22 @@
  * An answer is complete only if its end was delimited (by a length, by chunks,
  * or by a status without a body) and reached. A body that ends with its
  * connection cannot be distinguished from a truncated one.
+ *
+ * A server may write an answer twice, or late, on a connection that is in use
+ * again. Such bytes are recognised by the echo header, which names the request
+ * that an answer belongs to. On a connection that served other requests before,
+ * an answer without that header belongs to no request.
  */
 #include "transport/http_client.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define CONNECT_TIMEOUT_MS 500L
 #define MAX_IDLE_AGE_S	   20L
@@ -31,9 +40,11 @@
 	size_t max_answer_bytes;
 	bool too_large;
 	bool once; /* at_most_once of the request */
+	bool unread_bytes; /* the connection had some; not sent there */
 	bool sent; /* sending on a connection has started */
 	const char *echo_header;
 	char *echo_value;
+	bool echo_seen; /* the answer has the header, with that value */
 	uint8_t *body; /* of the answer */
 	size_t body_bytes;
 	size_t body_size; /* allocated */
@@ -49,7 +60,15 @@
 	struct fp_watch *watch;
 };
 
+/* A socket of a connection, in use or idle. */
+struct open_socket {
+	curl_socket_t fd;
+	int local_port; /* 0: not read yet */
+	struct open_socket *next;
+};
+
 struct fp_http_client {
+	struct open_socket *sockets; /* list */
 	struct fp_loop *loop;
 	CURLM *multi;
 	struct fp_timer timer;
@@ -129,6 +148,21 @@
 	return size * n;
 }
 
+/* Whether an answer whose headers have ended may belong to an earlier request:
+ * it does not say to which one it belongs, and the connection has served others
+ * before. Interim answers say nothing. */
+static bool may_be_stale(struct fp_http_send *s)
+{
+	long n_connects = 0;
+	long http_status = 0;
+
+	if (!s->echo_value || s->echo_seen)
+		return false;
+	curl_easy_getinfo(s->easy, CURLINFO_RESPONSE_CODE, &http_status);
+	curl_easy_getinfo(s->easy, CURLINFO_NUM_CONNECTS, &n_connects);
+	return http_status >= 200 && n_connects == 0;
+}
+
 /* Stores one header line "Name: value\r\n". A status line starts another
  * answer: what was stored belongs to an interim (1xx) answer and is dropped. */
 static size_t on_header(char *data, size_t size, size_t n, void *ctx)
@@ -140,8 +174,11 @@
 
 	if (len > 5 && memcmp(data, "HTTP/", 5) == 0) {
 		clear_answer(s);
+		s->echo_seen = false;
 		return len;
 	}
+	if (len <= 2) /* end of the headers; closes a connection out of step */
+		return may_be_stale(s) ? 0 : len;
 	if (s->n_headers == MAX_ANSWER_HEADERS)
 		return len;
 	line = strndup(data, len);
@@ -158,12 +195,83 @@
 	s->headers[s->n_headers].name = line;
 	s->headers[s->n_headers].value = value;
 	s->n_headers++;
-	if (s->echo_value && strcasecmp(line, s->echo_header) == 0 &&
-	    strcmp(value, s->echo_value) != 0)
-		return 0;
+	if (s->echo_value && strcasecmp(line, s->echo_header) == 0) {
+		if (strcmp(value, s->echo_value) != 0)
+			return 0;
+		s->echo_seen = true;
+	}
 	return len;
 }
 
+/* --- open sockets --- */
+
+/* The library does not tell which socket a request is about to be sent on, only
+ * its local port. */
+static curl_socket_t on_open_socket(void *ctx, curlsocktype purpose,
+				    struct curl_sockaddr *addr)
+{
+	struct fp_http_client *c = ctx;
+	struct open_socket *o;
+	int fd = socket(addr->family, addr->socktype | SOCK_CLOEXEC,
+			addr->protocol);
+
+	(void)purpose;
+	if (fd < 0)
+		return CURL_SOCKET_BAD;
+	o = calloc(1, sizeof(*o));
+	if (!o)
+		abort();
+	o->fd = fd;
+	o->next = c->sockets;
+	c->sockets = o;
+	return fd;
+}
+
+static int on_close_socket(void *ctx, curl_socket_t fd)
+{
+	struct fp_http_client *c = ctx;
+	struct open_socket **at = &c->sockets;
+	struct open_socket *o;
+
+	while (*at && (*at)->fd != fd)
+		at = &(*at)->next;
+	o = *at;
+	if (o) {
+		*at = o->next;
+		free(o);
+	}
+	return close(fd);
+}
+
+static int local_port_of(curl_socket_t fd)
+{
+	struct sockaddr_storage addr;
+	socklen_t len = sizeof(addr);
+
+	if (getsockname(fd, (struct sockaddr *)&addr, &len) != 0)
+		return 0;
+	if (addr.ss_family == AF_INET6)
+		return ntohs(((struct sockaddr_in6 *)&addr)->sin6_port);
+	return ntohs(((struct sockaddr_in *)&addr)->sin_port);
+}
+
+/* Whether the server wrote something on a connection that no request has asked
+ * for. */
+static bool has_unread_bytes(const struct fp_http_client *c, int local_port)
+{
+	struct open_socket *o;
+	char byte;
+
+	for (o = c->sockets; o; o = o->next) {
+		if (!o->local_port)
+			o->local_port = local_port_of(o->fd);
+		if (o->local_port == local_port)
+			return recv(o->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >
+			       0;
+	}
+	return false;
+}
+
 /* Called by the library each time it is about to send the request. */
 static int on_sending(void *ctx, char *remote_ip, char *local_ip,
 		      int remote_port, int local_port)
@@ -173,7 +281,10 @@
 	(void)remote_ip;
 	(void)local_ip;
 	(void)remote_port;
-	(void)local_port;
+	if (has_unread_bytes(s->client, local_port)) {
+		s->unread_bytes = true;
+		return CURL_PREREQFUNC_ABORT;
+	}
 	if (s->once && s->sent)
 		return CURL_PREREQFUNC_ABORT;
 	s->sent = true;
@@ -233,6 +344,18 @@
 	send_free(s);
 }
 
+/* Sends a request on a new connection that was not sent on a kept one; returns
+ * whether it does. */
+static bool send_anew(struct fp_http_send *s)
+{
+	if (!s->unread_bytes || s->sent)
+		return false;
+	s->unread_bytes = false;
+	curl_multi_remove_handle(s->client->multi, s->easy);
+	curl_easy_setopt(s->easy, CURLOPT_FRESH_CONNECT, 1L);
+	return curl_multi_add_handle(s->client->multi, s->easy) == CURLM_OK;
+}
+
 static void collect(struct fp_http_client *c)
 {
 	struct fp_http_send *s;
@@ -243,7 +366,8 @@
 		if (m->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &s);
-		finish(s, m->data.result);
+		if (!send_anew(s))
+			finish(s, m->data.result);
 	}
 }
 
@@ -436,6 +560,10 @@
 	curl_easy_setopt(e, CURLOPT_PRIVATE, s);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_sending);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, s);
+	curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, on_open_socket);
+	curl_easy_setopt(e, CURLOPT_OPENSOCKETDATA, s->client);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close_socket);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, s->client);
 	if (strcmp(o->method, "GET") != 0)
 		curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, o->method);
 }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -35,7 +35,8 @@
 	/**
 	 * Name of a header that must have the value echo_value if the answer
 	 * contains it. With another value the answer belongs to a different
-	 * request, and the result is FP_IO.
+	 * request, and the result is FP_IO. The same holds for an answer
+	 * without the header on a connection that was used before.
 	 */
 	const char *echo_header; /**< NULL: none; must outlive the send */
 	const char *echo_value; /**< NULL: not checked */
--- /dev/null
+++ b/test/test_http_client.cc
@@ -0,0 +1,279 @@
+/* test_http_client.cc - answers of servers that do not keep to the protocol */
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cstring>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/clock.h"
+#include "transport/http_client.h"
+
+namespace
+{
+
+const std::string REFUSAL = "HTTP/1.1 503 Service Unavailable\r\n"
+			    "Content-Length: 0\r\nNot-Run: 1\r\n";
+
+std::string answer_to(const std::string &id, const std::string &body = "mine")
+{
+	return "HTTP/1.1 200 OK\r\nContent-Length: " +
+	       std::to_string(body.size()) + "\r\nRequest-Id: " + id +
+	       "\r\n\r\n" + body;
+}
+
+/* Serves connections one after the other; what it writes for the n-th request,
+ * counted over all connections, is scripted. */
+class ScriptedServer
+{
+      public:
+	struct Step {
+		std::string bytes; /* the answer */
+		bool close = false; /* then close the connection */
+		bool endless = false; /* then repeat bytes until it is closed */
+		std::string late = ""; /* sent 20 ms after the answer */
+	};
+
+	explicit ScriptedServer(std::vector<Step> script)
+	    : steps(std::move(script))
+	{
+		struct sockaddr_in sin = {};
+		socklen_t len = sizeof(sin);
+
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		sin.sin_family = AF_INET;
+		inet_pton(AF_INET, "127.0.0.1", &sin.sin_addr);
+		EXPECT_EQ(0, bind(fd, (struct sockaddr *)&sin, len));
+		EXPECT_EQ(0, listen(fd, 8));
+		getsockname(fd, (struct sockaddr *)&sin, &len);
+		url = "http://127.0.0.1:" +
+		      std::to_string(ntohs(sin.sin_port)) + "/x";
+		thread = std::thread([this] { run(); });
+	}
+	~ScriptedServer()
+	{
+		shutdown(fd, SHUT_RDWR);
+		if (connection >= 0)
+			shutdown(connection, SHUT_RDWR);
+		thread.join();
+		close(fd);
+	}
+
+	std::string url;
+	std::atomic<int> n_requests{ 0 };
+	std::atomic<int> n_connections{ 0 };
+
+      private:
+	/* Reads one request without a body; false: the connection ended. */
+	bool read_request()
+	{
+		std::string got;
+		char c;
+
+		while (got.size() < 4 ||
+		       got.compare(got.size() - 4, 4, "\r\n\r\n") != 0) {
+			if (recv(connection, &c, 1, 0) != 1)
+				return false;
+			got += c;
+		}
+		return true;
+	}
+	bool write(const std::string &bytes)
+	{
+		return send(connection, bytes.data(), bytes.size(),
+			    MSG_NOSIGNAL) == (ssize_t)bytes.size();
+	}
+	void run()
+	{
+		while ((connection = accept(fd, nullptr, nullptr)) >= 0) {
+			n_connections++;
+			while (read_request()) {
+				size_t n = (size_t)n_requests++;
+
+				if (n >= steps.size() || !serve(steps[n]))
+					break;
+			}
+			close(connection);
+		}
+	}
+	/* Returns whether the connection stays open. */
+	bool serve(const Step &s)
+	{
+		if (!write(s.bytes))
+			return false;
+		while (s.endless)
+			if (!write(s.bytes))
+				return false;
+		if (!s.late.empty()) {
+			usleep(20000);
+			if (!write(s.late))
+				return false;
+		}
+		return !s.close;
+	}
+
+	std::vector<Step> steps;
+	int fd = -1;
+	std::atomic<int> connection{ -1 };
+	std::thread thread;
+};
+
+struct Result {
+	enum fp_status status = FP_AGAIN;
+	int http_status = 0;
+	std::string body;
+};
+
+struct HttpClient : testing::Test {
+	struct fp_loop *loop = nullptr;
+	struct fp_http_client *client = nullptr;
+
+	void SetUp() override
+	{
+		ASSERT_EQ(FP_OK, fp_loop_init(fp_system_clock(), &loop));
+		ASSERT_EQ(FP_OK, fp_http_client_init(loop, 4, &client));
+	}
+	void TearDown() override
+	{
+		fp_http_client_end(client);
+		fp_loop_end(loop);
+	}
+	void run_ms(int ms)
+	{
+		int64_t end_us = fp_mono_us(fp_system_clock()) + ms * 1000;
+
+		while (fp_mono_us(fp_system_clock()) < end_us)
+			fp_loop_run_once(loop, 1000);
+	}
+	/* Sends a request and waits for its result. */
+	Result call(const ScriptedServer &server, const char *id,
+		    size_t max_answer_bytes = 1 << 20)
+	{
+		struct fp_http_out o = {};
+		Result r;
+
+		o.method = "GET";
+		o.url = server.url.c_str();
+		o.timeout_us = 2000000;
+		o.max_answer_bytes = max_answer_bytes;
+		o.at_most_once = true;
+		o.echo_header = "Request-Id";
+		o.echo_value = id;
+		EXPECT_EQ(FP_OK, fp_http_send(client, &o, on_done, &r, NULL));
+		while (r.status == FP_AGAIN)
+			fp_loop_run_once(loop, 1000);
+		return r;
+	}
+	static void on_done(void *ctx, const struct fp_http_result *res)
+	{
+		Result *r = static_cast<Result *>(ctx);
+
+		r->status = res->status;
+		r->http_status = res->http_status;
+		r->body.assign((const char *)res->body, res->body_bytes);
+	}
+};
+
+/* The second copy is there when the next request is sent, or arrives in place
+ * of its answer. */
+TEST_F(HttpClient, ASecondCopyIsNotTheAnswerToTheNextRequest)
+{
+	for (bool early : { true, false }) {
+		ScriptedServer::Step first = { answer_to("a", "first") };
+		ScriptedServer::Step second = { answer_to("b") };
+
+		if (early)
+			first.late = first.bytes;
+		else
+			second.bytes = first.bytes + second.bytes;
+		ScriptedServer server({ first, second, { answer_to("c") } });
+
+		EXPECT_EQ("first", call(server, "a").body);
+		run_ms(60);
+		Result r = call(server, "b");
+		if (early)
+			EXPECT_EQ("mine", r.body);
+		else
+			EXPECT_EQ(FP_IO, r.status);
+		EXPECT_EQ(FP_OK, call(server, "c").status);
+		EXPECT_EQ(2, server.n_connections);
+	}
+}
+
+/* An earlier refusal, with its own id or without one, in place of the answer to
+ * a request that the server runs. */
+TEST_F(HttpClient, AnEarlierRefusalIsNotTheAnswerToTheNextRequest)
+{
+	for (const char *id : { "Request-Id: a\r\n", "" }) {
+		ScriptedServer server({ { REFUSAL + "Request-Id: a\r\n\r\n" },
+					{ REFUSAL + id + "\r\n" },
+					{ answer_to("c") } });
+
+		EXPECT_EQ(503, call(server, "a").http_status);
+		EXPECT_EQ(FP_IO, call(server, "b").status) << id;
+		EXPECT_EQ(FP_OK, call(server, "c").status);
+		EXPECT_EQ(2, server.n_connections);
+	}
+}
+
+/* On a new connection there is no earlier request. */
+TEST_F(HttpClient, ARefusalWithoutAnIdIsValidOnANewConnection)
+{
+	ScriptedServer server({ { REFUSAL + "\r\n" } });
+	Result r = call(server, "a");
+
+	EXPECT_EQ(FP_OK, r.status);
+	EXPECT_EQ(503, r.http_status);
+}
+
+TEST_F(HttpClient, AnAnswerThatBreaksOffIsNotComplete)
+{
+	const char *const broken[] = {
+		"HTTP/1.1 200 OK\r\nContent-Le",
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nRequest-Id: a\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nRequest-Id: "
+		"a\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\nRequest-Id: a\r\n\r\n"
+		"123456789",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		"Request-Id: a\r\n\r\n5\r\n123",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		"Request-Id: a\r\n\r\n3\r\n123\r\n",
+		"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n123",
+		"",
+	};
+
+	for (const char *bytes : broken) {
+		ScriptedServer server({ { bytes, true } });
+
+		EXPECT_EQ(FP_IO, call(server, "a").status) << bytes;
+	}
+}
+
+TEST_F(HttpClient, AnAnswerWithoutEndIsCutOff)
+{
+	const char *const endless[] = {
+		"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nxxxxxxxxxxxxxxxxxxxxx",
+		"HTTP/1.1 200 OK\r\nX-Header: xxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\n",
+		"HTTP/1.1 100 Continue\r\nX-Header: xxxxxxxxxxxxxxxxx\r\n\r\n",
+		"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx",
+	};
+
+	for (const char *bytes : endless) {
+		ScriptedServer server({ { bytes, false, true } });
+		Result r = call(server, "a", 100000);
+
+		EXPECT_TRUE(r.status == FP_IO || r.status == FP_TIMEOUT)
+			<< bytes;
+		EXPECT_LE(r.body.size(), 100000u);
+	}
+}
+
+} // namespace
