--- a/Makefile
+++ b/Makefile
@@ -38,11 +38,11 @@
 	$(filter-out %_main.c,$(wildcard bench/*.c)))
 BENCHES := $(B)/bench $(B)/demo $(B)/slopes
 TESTS := $(patsubst test/%.cc,$(B)/test/%,$(wildcard test/test_*.cc))
-# End-to-end tests start processes; they run one at a time.
+# End-to-end tests start processes.
 E2E := $(filter $(B)/test/test_e2e_%,$(TESTS))
 UNIT := $(filter-out $(E2E),$(TESTS))
 
-.PHONY: asan-unit tsan fuzz-corpus all check unit e2e demo bench slopes faults fuzz model lint format \
+.PHONY: asan-build asan-unit tsan fuzz-corpus all check unit e2e demo bench slopes faults fuzz model lint format \
 	deps clean
 
 all: $(B)/fulmarpass $(STANDINS) $(BENCHES) $(TESTS)
@@ -110,13 +110,18 @@
 ASAN_UNIT := msg_call msg_shared peer admission balancer early_shed attempts \
 	poison claims settings config declarations slo reach base load_view
 
-asan-unit:
-	$(MAKE) VARIANT=asan all
+asan-build:
+	$(MAKE) VARIANT=asan $(ASAN_UNIT:%=build-asan/test/test_%)
+
+asan-unit: asan-build
 	sh tools/run-tests.sh build-asan \
 		$(ASAN_UNIT:%=build-asan/test/test_%)
 
+# End-to-end tests mostly wait. They come first, the longest before the others.
+LONGEST := $(B)/test/test_e2e_hosted $(B)/test/test_e2e_faults
 check: all
-	sh tools/run-tests.sh $(B) $(TESTS)
+	sh tools/run-tests.sh -j 3 $(B) $(LONGEST) \
+		$(filter-out $(LONGEST),$(E2E)) $(UNIT)
 
 # Runs the cases that docs/FAULTS.md names and prints its table with
 # the results.
