--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -245,14 +245,17 @@
 
 static int local_port_of(curl_socket_t fd)
 {
-	struct sockaddr_storage addr;
+	union {
+		struct sockaddr any;
+		struct sockaddr_in v4;
+		struct sockaddr_in6 v6;
+	} addr = { .v6 = { 0 } };
 	socklen_t len = sizeof(addr);
 
-	if (getsockname(fd, (struct sockaddr *)&addr, &len) != 0)
+	if (getsockname(fd, &addr.any, &len) != 0)
 		return 0;
-	if (addr.ss_family == AF_INET6)
-		return ntohs(((struct sockaddr_in6 *)&addr)->sin6_port);
-	return ntohs(((struct sockaddr_in *)&addr)->sin_port);
+	return ntohs(addr.any.sa_family == AF_INET6 ? addr.v6.sin6_port :
+						      addr.v4.sin_port);
 }
 
 /* Whether the server wrote something on a connection that no request has asked
