--- a/src/state/early_shed.c
+++ b/src/state/early_shed.c
@@ -288,10 +288,10 @@
 static void update_service(struct service *s, int64_t now_us)
 {
 	int64_t step_us = now_us - s->updated_us;
-	double used = occupancy(s, now_us);
-	double refused;
 	double max_admitted = 1;
+	double refused;
 	double step_s;
+	double used;
 	int i;
 
 	if (step_us < STEP_US)
@@ -300,6 +300,7 @@
 		step_us = MAX_STEP_US;
 	step_s = (double)step_us / 1e6;
 	s->updated_us = now_us;
+	used = occupancy(s, now_us);
 	for (i = 0; i < FP_SHED_RANK_COUNT; i++) {
 		refused = estimate_refused(s, i, step_s, now_us);
 		update_admitted(s, i, refused, used, max_admitted, step_s);
