--- a/test/standin/lib_platform.c
+++ b/test/standin/lib_platform.c
@@ -459,6 +459,7 @@
 	pthread_mutex_t lock;
 	char last_headers[N_RECORDED][256];
 	int runs;
+	long last_body_bytes;
 	long nested_status;
 	uint64_t sequence; /* of the last announcement */
 };
@@ -515,6 +516,7 @@
 		return send_refusal(s, r);
 	pthread_mutex_lock(&s->lock);
 	s->runs++;
+	s->last_body_bytes = (long)r->body_bytes;
 	for (i = 0; i < N_RECORDED; i++)
 		snprintf(s->last_headers[i], sizeof(s->last_headers[i]), "%s",
 			 serve_header(r, recorded_headers[i]));
@@ -613,6 +615,16 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+long platform_server_last_body_bytes(struct platform_server *s)
+{
+	long bytes;
+
+	pthread_mutex_lock(&s->lock);
+	bytes = s->last_body_bytes;
+	pthread_mutex_unlock(&s->lock);
+	return bytes;
+}
+
 long platform_server_nested_status(struct platform_server *s)
 {
 	long status;
--- a/test/standin/lib_platform.h
+++ b/test/standin/lib_platform.h
@@ -93,6 +93,8 @@
  *  among the recorded ones. */
 void platform_server_last_header(struct platform_server *s, const char *name,
 				 char *value, int value_bytes);
+/** Size of the body of the request that the server ran last. */
+long platform_server_last_body_bytes(struct platform_server *s);
 /** HTTP status of the server's last nested request, 0 before the first. */
 long platform_server_nested_status(struct platform_server *s);
 /** Stops the server and frees it; NULL is ignored. */
