--- a/src/state/load_view.c
+++ b/src/state/load_view.c
@@ -58,17 +58,18 @@
 	return XXH64(name, strnlen(name, FP_NAME_BYTES), 0);
 }
 
-static const struct service *find(const struct fp_load_view *v, uint64_t hash)
+/* Index of a service; n: it is not known. */
+static uint32_t index_of(const struct fp_load_view *v, const char *name)
 {
-	uint32_t i;
+	uint64_t hash = hash_name(name);
+	uint32_t i = 0;
 
-	for (i = 0; i < v->n; i++)
-		if (v->services[i].hash == hash)
-			return &v->services[i];
-	return NULL;
+	while (i < v->n && v->services[i].hash != hash)
+		i++;
+	return i;
 }
 
-static struct service *add(struct fp_load_view *v, uint64_t hash)
+static struct service *add(struct fp_load_view *v, const char *name)
 {
 	struct service *s = &v->services[0];
 	uint32_t i;
@@ -81,7 +82,7 @@
 				s = &v->services[i];
 	}
 	memset(s, 0, sizeof(*s));
-	s->hash = hash;
+	s->hash = hash_name(name);
 	s->at_us = INT64_MIN / 2;
 	return s;
 }
@@ -94,8 +95,8 @@
 void fp_load_view_update(struct fp_load_view *v,
 			 const struct fp_service_load *load, int64_t now_us)
 {
-	uint64_t hash = hash_name(load->service);
-	struct service *s = (struct service *)find(v, hash);
+	uint32_t at = index_of(v, load->service);
+	struct service *s;
 	int64_t at_us = now_us - load->age_ms * INT64_C(1000);
 	int64_t step_us;
 	double weight;
@@ -103,8 +104,7 @@
 
 	if (load->age_ms == FP_LOAD_AGE_UNKNOWN)
 		return;
-	if (!s)
-		s = add(v, hash);
+	s = at < v->n ? &v->services[at] : add(v, load->service);
 	if (at_us < s->at_us)
 		return;
 	step_us = at_us - s->at_us;
@@ -121,12 +121,13 @@
 void fp_load_view_read(const struct fp_load_view *v, struct fp_service_load *l,
 		       int64_t now_us)
 {
-	const struct service *s = find(v, hash_name(l->service));
+	uint32_t at = index_of(v, l->service);
+	const struct service *s = &v->services[at];
 	int64_t age_ms;
 	int i;
 
 	l->age_ms = FP_LOAD_AGE_UNKNOWN;
-	if (!s)
+	if (at == v->n)
 		return;
 	age_ms = (now_us - s->at_us) / 1000;
 	if (age_ms < FP_LOAD_AGE_UNKNOWN)
