--- a/src/node/call.c
+++ b/src/node/call.c
@@ -27,6 +27,8 @@
 #define REPLY_GRACE_US (20 * FP_US_PER_MS)
 /* An attempt gets no timeout of its own if that would be shorter than this. */
 #define MIN_ATTEMPT_US (20 * FP_US_PER_MS)
+/* Time after which a full send queue of a link is tried again. */
+#define LINK_WAIT_US (20 * FP_US_PER_MS)
 /* Shortest Retry-After of a refusal. */
 #define RETRY_AFTER_MIN_US (100 * FP_US_PER_MS)
 /* Retry-After is the target latency divided by this, so that the caller's
@@ -464,11 +466,32 @@
 	call_send(c);
 }
 
+static void on_link_wait_over(void *ctx)
+{
+	call_send(ctx);
+}
+
+/* Waits for room in the send queue of a link: large bodies take their time, and
+ * a full queue does not mean that the worker is lost. Nothing was sent. */
+static void wait_for_link(struct call *c, int64_t now_us)
+{
+	struct fp_traffic *t = c->t;
+
+	fp_balancer_call_ended(t->balancer, c->worker, FP_BALANCER_CANCELLED, 0,
+			       NULL, now_us);
+	fp_attempt_budget_return(&c->attempt_budget, c->msg.attempts);
+	clear_attempt(c);
+	c->n_tried--;
+	fp_timer_set(t->loop, &c->attempt_timer, now_us + LINK_WAIT_US,
+		     on_link_wait_over, c);
+}
+
 void call_send(struct call *c)
 {
 	struct fp_traffic *t = c->t;
 	int64_t now_us = fp_loop_now_us(t->loop);
 	const struct fp_member *m = pick_worker(c, now_us);
+	enum fp_status st;
 	uint64_t corr;
 
 	if (!m) {
@@ -489,12 +512,18 @@
 	c->tried[c->n_tried++] = m->id;
 	c->sent_us = now_us;
 	apr_hash_set(t->calls, &c->corr, sizeof(c->corr), c);
-	if (c->n_tried == 1)
+	if (!c->first_counted)
 		limits_count_first_attempt(c);
+	c->first_counted = true;
 	arm_attempt_timer(c, now_us);
 	fp_balancer_call_sent(t->balancer, m->id);
-	if (transmit(c, m) == FP_OK)
+	st = transmit(c, m);
+	if (st == FP_OK)
+		return;
+	if (st == FP_FULL) {
+		wait_for_link(c, now_us);
 		return;
+	}
 	fp_balancer_call_ended(t->balancer, m->id, FP_BALANCER_FAILED, 0, NULL,
 			       now_us);
 	attempt_ended(c, FP_OUTCOME_NOT_RUN, FP_REASON_NO_WORKER, false);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -27,6 +27,7 @@
 	bool may_have_run; /* some attempt ran, or may have run */
 	uint64_t tried[FP_MAX_TRIED]; /* ids of the nodes that it was sent to */
 	uint32_t n_tried;
+	bool first_counted; /* counted as a first send of the retry budget */
 	uint64_t corr; /* correlation id of the attempt in flight; 0: none */
 	uint64_t worker; /* id of the node of the last attempt */
 	struct fp_peer_link *link; /* NULL: the worker of this node */
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -292,7 +292,7 @@
 {
 	if (l->state == CLOSED)
 		return fp_fail(FP_UNAVAILABLE, "the link is closed");
-	if (bytes > l->net->max_frame_bytes)
+	if (bytes > l->net->max_frame_bytes || bytes > MAX_QUEUED_BYTES)
 		return fp_fail(FP_INVALID, "frame of %zu bytes is too large",
 			       bytes);
 	if (buffer_used(&l->out) + buffer_used(&l->queued) + bytes >
