--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	$(filter-out %_main.c,$(wildcard bench/*.c)))
 BENCHES := $(B)/bench $(B)/demo $(B)/slopes
 TESTS := $(patsubst test/%.cc,$(B)/test/%,$(wildcard test/test_*.cc))
-# End-to-end tests start processes.
+# End-to-end tests start processes, each test on addresses of its own.
 E2E := $(filter $(B)/test/test_e2e_%,$(TESTS))
 UNIT := $(filter-out $(E2E),$(TESTS))
 
--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -36,12 +36,13 @@
  * half of that time. The backoff limit gives a delay of at most 1.2 s, so that
  * each task succeeds again within 2 s after the store recovers. */
 #define CONFIG_PERIOD_US FP_US_PER_S
+#define MIN_BACKOFF_US	 (100 * FP_US_PER_MS)
+#define MAX_BACKOFF_US	 (800 * FP_US_PER_MS)
 /* Longest wait for another node to create the secret. */
 #define SECRET_WAIT_US (300 * FP_US_PER_MS)
-/* Wait for an operator to write the first configuration, half of it random. */
-#define NO_CONFIG_US   FP_US_PER_S
-#define MIN_BACKOFF_US (100 * FP_US_PER_MS)
-#define MAX_BACKOFF_US (800 * FP_US_PER_MS)
+/* Longest pause between reads while no operator has written a configuration; at
+ * least half of it passes. */
+#define NO_CONFIG_US FP_US_PER_S
 
 /* --- tasks --- */
 
@@ -91,6 +92,8 @@
 	t->backoff_us = MIN_BACKOFF_US;
 }
 
+/* --- calls to the store, by cause --- */
+
 static const char *const call_names[FP_DIRECTORY_CALL_COUNT] = {
 	"secret", "config", "list", "watch", "record", "lease", "renewal",
 };
--- a/src/coordination/directory_relay.c
+++ b/src/coordination/directory_relay.c
@@ -416,8 +416,8 @@
 	directory_schedule(&d->config, d->config_valid ? REQUEST_DELAY_US : 0);
 }
 
-/* Adds a part; a part that is not the next one ends the transfer, and the store
- * is read at the timeout. */
+/* Adds the next part and ignores any other. If one is missing, the store is read
+ * at the timeout. */
 static void on_record_part(struct fp_directory *d,
 			   const struct fp_config_part *part)
 {
--- a/src/state/load_view.c
+++ b/src/state/load_view.c
@@ -5,9 +5,9 @@
  * back. A tree may last for seconds after its call to that service, so the load
  * that its own call saw is old when the tree ends, and an entry that sheds by
  * it starts late and stops late. Each node therefore keeps the newest load of
- * every service, from the replies to all of its calls, and puts that on each
- * answer that it sends. On a chain of busy nodes the entry is then as late as
- * the replies between neighbours.
+ * every service, from the replies to all of its calls, and sends it with each
+ * of its answers. While every node of a chain is busy, the delay at the entry is
+ * that of the replies between neighbours, whatever the duration of the tree.
  *
  * Replies come from different workers of a service, so the values are smoothed.
  * The smoothing is by time: many replies in a short time are averaged, and one
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -347,8 +347,8 @@
 	send_free(s);
 }
 
-/* Sends a request on a new connection that was not sent on a kept one; returns
- * whether it does. */
+/* Sends a request on a new connection if it was held back on a kept one because
+ * of unread bytes; returns whether it does. */
 static bool send_anew(struct fp_http_send *s)
 {
 	if (!s->unread_bytes || s->sent)
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -7,6 +7,7 @@
 # A program listed in KNOWN-RED.txt as "test: NAME" may fail; its entry is
 # printed. If "case: Suite.Case" lines follow, only these cases may fail, and
 # the program must run to its end.
+# run-tests.sh --one PROGRAM runs one program, with FP_BUILD set; used by xargs.
 set -u
 
 # Whether KNOWN-RED.txt excuses program $1 with exit status $2 and log $3
