A stopping node passes on only what it can finish before its exit

Cause: the only condition under which a stopping node refused a request was that it had already reported the end of its drain. Nothing compared the time that a request may take with the time left.

Ruled out: an early exit (5.6 of 6 s of grace, "drained calls=3"); answers that were there and not sent (the workers answer 0.45 s and more after the exit).

Now drain.c compares the two before a call is begun, before each attempt is sent and before the worker of a stopping node gets an execution, and refuses in each tick what waits and can no longer end. These three see every request: clients on kept and new connections, inner calls, calls that wait for a token, claim, link or slot, calls from other nodes. How long a request may take is the longest of its route lately and half of it (run_times.c), at most its deadline. What fits is still taken. An exit waits for frames that are not written yet, too.

--- a/src/node/call.c
+++ b/src/node/call.c
@@ -29,6 +29,8 @@
 #define MIN_ATTEMPT_US (20 * FP_US_PER_MS)
 /* Time after which a full send queue of a link is tried again. */
 #define LINK_WAIT_US (20 * FP_US_PER_MS)
+/* Retry-After of a stopping node: time for a caller to pick another node. */
+#define RETRY_ELSEWHERE_US (100 * FP_US_PER_MS)
 /* Shortest Retry-After of a refusal. */
 #define RETRY_AFTER_MIN_US (100 * FP_US_PER_MS)
 /* Retry-After is the target latency divided by this, so that the caller's
@@ -213,6 +215,12 @@
 	call_free(c);
 }
 
+void call_refuse_stopping(struct call *c)
+{
+	call_refuse(c, FP_OUTCOME_NOT_RUN, FP_REASON_STOPPING,
+		    RETRY_ELSEWHERE_US);
+}
+
 void call_answer(struct call *c, const struct fp_msg_reply *r)
 {
 	slo_count_end(c, FP_OUTCOME_RAN, FP_REASON_NONE, r->http_status);
@@ -228,6 +236,8 @@
 	/* Server errors and answers later than the target are logged too. */
 	if (r->http_status >= 500 || (c->target_us && total_us > c->target_us))
 		log_end(c, FP_OUTCOME_RAN, FP_REASON_NONE, r->http_status);
+	fp_run_times_add(c->t->call_times, c->msg.route, total_us,
+			 fp_loop_now_us(c->t->loop));
 	fp_histogram_add(c->t->metrics.total_us, total_us);
 	fp_histogram_add(c->t->metrics.added_us, total_us - r->run_us);
 	claim_end(c, FP_OUTCOME_RAN, r);
@@ -260,11 +270,15 @@
 	enum fp_outcome outcome =
 		c->corr ? FP_OUTCOME_UNKNOWN : FP_OUTCOME_NOT_RUN;
 
-	if (c->corr)
+	int64_t now_us = fp_loop_now_us(c->t->loop);
+
+	if (c->corr) {
 		fp_balancer_call_ended(c->t->balancer, c->worker,
-				       FP_BALANCER_FAILED,
-				       fp_loop_now_us(c->t->loop) - c->sent_us,
-				       NULL, fp_loop_now_us(c->t->loop));
+				       FP_BALANCER_FAILED, now_us - c->sent_us,
+				       NULL, now_us);
+		fp_run_times_add(c->t->call_times, c->msg.route,
+				 now_us - c->started_us, now_us);
+	}
 	send_cancel(c);
 	call_refuse(c, outcome, FP_REASON_DEADLINE, 0);
 }
@@ -426,13 +440,17 @@
 {
 	enum fp_reason why;
 
+	c->claim_undecided = c->msg.non_idempotent && !c->without_claim;
+	if (!drain_can_finish_call(c)) {
+		call_refuse_stopping(c);
+		return;
+	}
 	fp_timer_set(c->t->loop, &c->deadline_timer,
 		     c->deadline_us + REPLY_GRACE_US, on_deadline, c);
-	if (!c->msg.non_idempotent || c->without_claim) {
+	if (!c->claim_undecided) {
 		call_after_claim(c);
 		return;
 	}
-	c->claim_undecided = true;
 	why = claim_take(c);
 	if (why != FP_REASON_NONE)
 		call_refuse(c, FP_OUTCOME_NOT_RUN, why, call_retry_after_us(c));
@@ -490,10 +508,15 @@
 {
 	struct fp_traffic *t = c->t;
 	int64_t now_us = fp_loop_now_us(t->loop);
-	const struct fp_member *m = pick_worker(c, now_us);
+	const struct fp_member *m;
 	enum fp_status st;
 	uint64_t corr;
 
+	if (!drain_can_finish_call(c)) {
+		call_refuse_stopping(c);
+		return;
+	}
+	m = pick_worker(c, now_us);
 	if (!m) {
 		call_refuse(c, FP_OUTCOME_NOT_RUN, FP_REASON_NO_WORKER,
 			    call_retry_after_us(c));
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -80,6 +80,9 @@
 void call_refuse(struct call *c, enum fp_outcome outcome, enum fp_reason why,
 		 int64_t retry_after_us);
 
+/** Refuses a call because this process exits before it could end; frees it. */
+void call_refuse_stopping(struct call *c);
+
 /* --- limits.c: refusal at the entry and retry limits --- */
 
 /** Returns FP_REASON_NONE, or the reason to refuse the call. */
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -265,12 +265,22 @@
 		log_failure(e, r.outcome, r.reason, r.run_us);
 	if (r.reason == FP_REASON_CUT || r.reason == FP_REASON_NO_WORKER)
 		worker_note_aborted(t, e->msg.fingerprint);
+	if (r.outcome == FP_OUTCOME_RAN || r.reason == FP_REASON_DEADLINE)
+		fp_run_times_add(t->execution_times, e->msg.route, r.run_us,
+				 fp_loop_now_us(t->loop));
 	end_run(e, r.reason);
 	send_reply(e, &r);
 	execution_free(e);
 	execution_apply_decisions(t);
 }
 
+/* Whether the worker may get an execution that starts now. */
+static bool may_run(const struct execution *e)
+{
+	return e->t->worker.serving &&
+	       drain_can_finish_execution(e->t, e->msg.route, e->deadline_us);
+}
+
 static void send_to_backend(struct execution *e)
 {
 	struct fp_traffic *t = e->t;
@@ -289,7 +299,7 @@
 
 	e->sent_us = fp_loop_now_us(t->loop);
 	o.timeout_us = e->deadline_us - e->sent_us;
-	if (!t->worker.serving) {
+	if (!may_run(e)) {
 		release_slot(e, false);
 		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_STOPPING);
 		return;
@@ -498,8 +508,7 @@
 			fp_peer_drop(link, fp_last_message());
 		return;
 	}
-	if (!t->worker.serving ||
-	    strcmp(e->msg.service, t->settings->service) != 0) {
+	if (!may_run(e) || strcmp(e->msg.service, t->settings->service) != 0) {
 		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_STOPPING);
 		return;
 	}
@@ -525,6 +534,33 @@
 	execution_apply_decisions(t);
 }
 
+/* Returns an execution that waits and cannot be finished any more, or NULL. */
+static struct execution *next_unfinishable(struct fp_traffic *t)
+{
+	apr_hash_index_t *hi = apr_hash_first(NULL, t->executions);
+	struct execution *e;
+
+	for (; hi; hi = apr_hash_next(hi)) {
+		e = apr_hash_this_val(hi);
+		if (!e->running && !drain_can_finish_execution(t, e->msg.route,
+							       e->deadline_us))
+			return e;
+	}
+	return NULL;
+}
+
+void execution_refuse_unfinishable(struct fp_traffic *t)
+{
+	struct execution *e;
+
+	while ((e = next_unfinishable(t))) {
+		fp_admission_cancel(t->admission, e->admission_id,
+				    fp_loop_now_us(t->loop));
+		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_STOPPING);
+		execution_apply_decisions(t);
+	}
+}
+
 static struct execution *find_by_corr(struct fp_traffic *t,
 				      const struct fp_peer_link *link,
 				      uint64_t corr)
--- a/src/node/handover.c
+++ b/src/node/handover.c
@@ -282,16 +282,7 @@
 	struct fp_traffic *t = h->t;
 
 	free(h);
-	t->draining = true;
-	t->drain_started_us = fp_loop_now_us(t->loop);
-	fp_log(FP_LOG_INFO, "draining", "calls=%u executions=%u", t->n_calls,
-	       t->n_executions);
-	/* A hosted node may be stopped while its worker keeps running. The
-	 * worker then still serves other nodes while this node's callers move
-	 * to them. */
-	if (!t->hosted)
-		traffic_withdraw_worker(t, fp_loop_now_us(t->loop));
-	fp_http_server_disable_keep_alive(t->callers);
+	drain_begin(t);
 }
 
 void fp_traffic_set_config(struct fp_traffic *t, struct fp_config *c)
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -1,12 +1,11 @@
 /*
- * traffic.c - the traffic thread: listeners, call links, start, drain and end
+ * traffic.c - the traffic thread: listeners, call links, start and end
  *
  * Only the traffic thread accesses this state, so there are no locks. Other
  * threads pass data as work posted to its loop (handover.c).
  */
 #include "node/traffic.h"
 
-#include <inttypes.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,11 +17,6 @@
 #include "protocol/msg_crash.h"
 
 #define TICK_US (10 * FP_US_PER_MS)
-/* Retry-After of a stopping node: time for a caller to pick another node. */
-#define RETRY_ELSEWHERE_US (100 * FP_US_PER_MS)
-/* Time reserved at the end of the grace period, before the process is killed,
- * for the process to exit. */
-#define KILL_MARGIN_US (400 * FP_US_PER_MS)
 /* Room in a frame for everything besides the body of a call. */
 #define FRAME_EXTRA_BYTES (256u << 10)
 /* Maximum number of idle connections kept open to the backend server. */
@@ -55,15 +49,7 @@
 static void on_caller(void *ctx, struct fp_http_exchange *x,
 		      const struct fp_http_request *r)
 {
-	struct fp_traffic *t = ctx;
-
-	/* The process may exit at any moment, so a request that arrives on a
-	 * kept-alive connection is refused instead of started. */
-	if (t->drained_reported)
-		answer_refuse(t, x, FP_CLASS_NORMAL, FP_OUTCOME_NOT_RUN,
-			      FP_REASON_STOPPING, RETRY_ELSEWHERE_US);
-	else
-		call_from_caller(t, x, r);
+	call_from_caller(ctx, x, r);
 }
 
 static void on_local(void *ctx, struct fp_http_exchange *x,
@@ -241,26 +227,6 @@
 
 /* --- life cycle --- */
 
-static void drain_tick(struct fp_traffic *t, int64_t now_us)
-{
-	int64_t spent_us = now_us - t->drain_started_us;
-	uint32_t open;
-
-	if (t->drained_reported || spent_us < FP_DRAIN_ACCEPT_US)
-		return;
-	traffic_withdraw_worker(t, now_us);
-	fp_http_server_quiesce(t->callers);
-	open = fp_http_server_open_exchanges(t->callers);
-	if ((t->n_calls || t->n_executions || open) &&
-	    spent_us < t->settings->grace_us - KILL_MARGIN_US)
-		return;
-	fp_log(FP_LOG_INFO, "drained",
-	       "calls=%u executions=%u exchanges=%u spent_ms=%" PRId64,
-	       t->n_calls, t->n_executions, open, spent_us / FP_US_PER_MS);
-	t->drained_reported = true;
-	t->hooks.drained(t->hooks.ctx);
-}
-
 static void on_tick(void *ctx)
 {
 	struct fp_traffic *t = ctx;
@@ -333,6 +299,10 @@
 	t->hooks = *hooks;
 	t->clock = clock;
 	t->calls = apr_hash_make(t->pool);
+	t->call_times = fp_run_times_init();
+	t->execution_times = fp_run_times_init();
+	if (!t->call_times || !t->execution_times)
+		abort();
 	t->balancer =
 		fp_balancer_init(s->failure_domain, s->region, s->overload_off);
 	fp_balancer_set_self(t->balancer, node_id);
@@ -408,6 +378,8 @@
 	claim_shutdown(t);
 	fp_admission_end(t->admission);
 	free(t->decisions);
+	fp_run_times_end(t->call_times);
+	fp_run_times_end(t->execution_times);
 	fp_loop_end(t->loop);
 	apr_pool_destroy(t->pool);
 	free(t->reloaded);
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -14,6 +14,7 @@
 #include "state/early_shed.h"
 #include "state/load_view.h"
 #include "state/poison.h"
+#include "state/run_times.h"
 #include "state/slo.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -123,6 +124,8 @@
 	struct fp_worker worker;
 	int64_t announced_us; /* arrival of the last announcement */
 	struct fp_timer tick;
+	struct fp_run_times *call_times; /* of calls, from their arrival */
+	struct fp_run_times *execution_times; /* at the worker of this node */
 	bool draining;
 	bool worker_withdrawn; /* the worker gets no new work: the node stops */
 	bool drained_reported; /* the drained hook was called */
@@ -220,6 +223,19 @@
 /** Frees the claim requests that are still unanswered. */
 void claim_shutdown(struct fp_traffic *t);
 
+/* --- drain.c: the planned stop --- */
+
+/** Starts the planned stop; from now on drain_tick() is called. */
+void drain_begin(struct fp_traffic *t);
+/** Refuses what can no longer be finished, and reports the end of the drain. */
+void drain_tick(struct fp_traffic *t, int64_t now_us);
+/** Whether a call that starts now will have ended when this process exits; true
+ *  if the process is not stopping. */
+bool drain_can_finish_call(const struct call *c);
+/** The same for an execution of that route at the worker of this node. */
+bool drain_can_finish_execution(const struct fp_traffic *t, const char *route,
+				int64_t deadline_us);
+
 /* --- slo_node.c: service levels --- */
 
 void slo_init(struct fp_traffic *t);
@@ -233,6 +249,9 @@
 /** Applies the worker's slots and the active preset to admission. */
 void execution_update_params(struct fp_traffic *t);
 void execution_tick(struct fp_traffic *t, int64_t now_us);
+/** Refuses the executions that wait for a slot and can no longer be finished
+ *  before this process exits. */
+void execution_refuse_unfinishable(struct fp_traffic *t);
 /** Applies the pending admission decisions. */
 void execution_apply_decisions(struct fp_traffic *t);
 /** Ends the execution of an attempt that its entry node cancelled, unless it is
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -875,6 +875,16 @@
 	return l->state == UP;
 }
 
+bool fp_peer_has_unsent(const struct fp_peer_net *n)
+{
+	const struct fp_peer_link *l;
+
+	for (l = n->links; l; l = l->next)
+		if (l->state == UP && buffer_used(&l->out))
+			return true;
+	return false;
+}
+
 void fp_peer_quiesce(struct fp_peer_net *n)
 {
 	if (n->listen_watch)
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -99,6 +99,9 @@
 /** Returns whether the link is established. */
 bool fp_peer_is_up(const struct fp_peer_link *l);
 
+/** Returns whether frames for established links are not written yet. */
+bool fp_peer_has_unsent(const struct fp_peer_net *n);
+
 /** Closes a link whose other end violated the protocol, and counts that. */
 void fp_peer_drop(struct fp_peer_link *l, const char *why);
 
--- a/test/e2e_hosted.h
+++ b/test/e2e_hosted.h
@@ -121,7 +121,9 @@
 			store_address +
 			"\"\n"
 			"timeout_ms = 500\n[bounds]\nrevoke = \"5s\"\n"
-			"grace = \"6s\"\nretry_ratio = \"0.2\"\n"
+			"grace = \"" +
+			grace +
+			"\"\nretry_ratio = \"0.2\"\n"
 			"retry_floor = 50\n"
 			"[limits]\nmax_body_bytes = 67108864\n";
 		settings[m->id] = text;
@@ -363,6 +365,7 @@
 	 * request; null: they refuse none */
 	const char *refusal_load = nullptr;
 	int n_domains = 2; /* failure domains */
+	std::string grace = "6s"; /* setting bounds.grace of later nodes */
 	std::vector<std::unique_ptr<Machine>> machines;
 	std::list<std::string> texts; /* strings that server options point to */
 	std::map<std::string, std::string> settings; /* TOML by server id */
--- /dev/null
+++ b/test/test_e2e_shutdown.cc
@@ -0,0 +1,151 @@
+/* test_e2e_shutdown.cc - requests that arrive while a hosted node is stopping */
+#include "e2e_hosted.h"
+
+namespace
+{
+
+using hosted::Hosted;
+using hosted::Machine;
+
+/* A connection opened before the stop and used again during it. */
+class KeptConnection
+{
+      public:
+	KeptConnection(const std::string &ip, int n) : number(n)
+	{
+		struct sockaddr_in sin = {};
+
+		sin.sin_family = AF_INET;
+		sin.sin_port = htons(8001);
+		inet_pton(AF_INET, ip.c_str(), &sin.sin_addr);
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		EXPECT_EQ(0, connect(fd, (struct sockaddr *)&sin, sizeof(sin)));
+	}
+	~KeptConnection()
+	{
+		close(fd);
+	}
+	/* Returns whether the request was written. */
+	bool send_order(int turn)
+	{
+		std::string text =
+			"POST /order/x HTTP/1.1\r\nHost: h.example\r\n"
+			"Fulmarpass-Request-Id: kept" +
+			std::to_string(number) + "-" + std::to_string(turn) +
+			"\r\nFulmarpass-Deadline-Ms: 5000\r\n"
+			"Fulmarpass-Key: k1\r\nContent-Length: 0\r\n\r\n";
+
+		return send(fd, text.data(), text.size(), MSG_NOSIGNAL) ==
+		       (ssize_t)text.size();
+	}
+	/* Reads what arrives within 2 s; returns the status, 0: no answer. */
+	int read_status()
+	{
+		struct timeval limit = { 2, 0 };
+		char buf[4096];
+		ssize_t got;
+
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+		got = recv(fd, buf, sizeof(buf) - 1, 0);
+		buf[got > 0 ? got : 0] = '\0';
+		closes = strstr(buf, "Connection: close") ||
+			 strstr(buf, "Connection: Close");
+		return strncmp(buf, "HTTP/1.1 ", 9) == 0 ? atoi(buf + 9) : 0;
+	}
+
+	bool closes = false; /* the last answer announced the close */
+
+      private:
+	int fd;
+	int number;
+};
+
+/*
+ * Guards against requests that a stopping node passes on although it exits
+ * before they can end. Orders take 0.7 s; one arrives each 0.2 s from SIGTERM
+ * until after the exit, each on a connection opened before.
+ */
+TEST_F(Hosted, AStoppingNodeTakesOnlyWhatItCanFinish)
+{
+	const int n = 32, warm = 3;
+	std::vector<std::unique_ptr<KeptConnection>> conns;
+	std::vector<int> status(n);
+	std::vector<std::unique_ptr<std::thread>> readers;
+	int answered = 0, refused = 0;
+
+	serve(false, 700);
+	for (int i = 0; i < n; i++)
+		conns.push_back(
+			std::make_unique<KeptConnection>(machines[0]->ip, i));
+	for (int turn = 0; turn < 3; turn++) {
+		for (int i = 0; i < warm; i++)
+			ASSERT_TRUE(conns[i]->send_order(turn));
+		for (int i = 0; i < warm; i++)
+			ASSERT_EQ(200, conns[i]->read_status());
+	}
+	int runs = platform_server_run_count(machines[1]->server);
+	fleet_process_signal(machines[0]->node, SIGTERM);
+	for (int i = 0; i < n; i++) {
+		if (conns[i]->send_order(9))
+			readers.push_back(std::make_unique<std::thread>([&, i] {
+				status[i] = conns[i]->read_status();
+			}));
+		usleep(200000);
+	}
+	for (auto &r : readers)
+		r->join();
+	EXPECT_TRUE(fleet_process_wait(machines[0]->node, 2000));
+	for (int i = 0; i < n; i++) {
+		answered += status[i] == 200;
+		refused += status[i] == 503;
+		EXPECT_TRUE(!status[i] || conns[i]->closes) << i;
+		EXPECT_TRUE(status[i] == 200 || status[i] == 503 || !status[i])
+			<< status[i];
+		/* What surely can be finished is taken. */
+		EXPECT_TRUE(i >= n / 2 || status[i] == 200) << i;
+	}
+	EXPECT_EQ(platform_server_run_count(machines[1]->server) - runs,
+		  answered);
+	EXPECT_GT(refused, 0);
+	EXPECT_GT(count(*machines[0], "reason=stopping"), 0);
+}
+
+/* The same for the node beside the worker: what it takes from a node that stays
+ * is answered, whatever the time at which it arrives. Its worker takes no new
+ * work from 2 s on, and it exits at 2.6 s. */
+TEST_F(Hosted, AStoppingNodeBesideTheWorkerTakesOnlyWhatItCanFinish)
+{
+	std::vector<std::unique_ptr<std::thread>> callers;
+	std::atomic<int> answered{ 0 }, refused{ 0 }, others{ 0 };
+
+	grace = "3s";
+	serve(false, 1000);
+	Machine &worker = *machines[1];
+	for (int turn = 0; turn < 3; turn++) {
+		for (int i = 0; i < 3; i++)
+			callers.push_back(std::make_unique<std::thread>(
+				[&] { call(*machines[0], "/order/x"); }));
+		for (auto &c : callers)
+			c->join();
+		callers.clear();
+	}
+	int runs = platform_server_run_count(worker.server);
+	fleet_process_signal(worker.node, SIGTERM);
+	for (int i = 0; i < 20; i++) {
+		callers.push_back(std::make_unique<std::thread>([&] {
+			long status = call(*machines[0], "/order/x").status;
+
+			answered += status == 200;
+			refused += status == 503;
+			others += status != 200 && status != 503;
+		}));
+		usleep(200000);
+	}
+	for (auto &c : callers)
+		c->join();
+	EXPECT_EQ(platform_server_run_count(worker.server) - runs, answered);
+	EXPECT_EQ(0, others);
+	EXPECT_GT(refused, 0);
+}
+
+} // namespace
