An answer exists only after the empty line that ends its head

Cause: the library reports success for a connection that ends within a head if no byte of a body is missing, and the client believed it: the check of the echo at the end of the head never came, a status without a body or a Content-Length of 0 was "delimited". A refusal in such bytes was taken for that of the present request.

Now the state of the head is kept, and a result is FP_OK only after the empty line of a final answer. Everything that is read from results needs FP_OK: answers, refusals that say not run, and the store's answers (a truncated head renewed a lease). On the same path: a head that goes on with a second status line, lines that are no field, two lengths, fields of a trailer, more fields than are kept, and a coding other than chunked.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -5,18 +5,25 @@
  * called next; these become watches and a timer of the loop. Finished transfers
  * are collected after each call of the library.
  *
- * An answer is complete only if its end was delimited (by a length, by chunks,
- * or by a status without a body) and reached. A body that ends with its
- * connection cannot be distinguished from a truncated one.
+ * An answer exists only from the empty line that ends its head, whatever the
+ * library reports: a connection that ends within a head leaves a status and
+ * some header fields that prove nothing. It is complete only if its end was
+ * delimited (by a length, by chunks, or by a status without a body) and reached.
+ * A body that ends with its connection cannot be distinguished from a truncated
+ * one.
  *
  * A server may write an answer twice, or late, on a connection that is in use
  * again. Such bytes are recognised by the echo header, which names the request
  * that an answer belongs to. On a connection that served other requests before,
- * an answer without that header belongs to no request.
+ * an answer without that header belongs to no request. The beginning of such
+ * bytes may also be followed by the answer itself, which then continues their
+ * head. So a head with a second status line, a line that is no header field, or
+ * two lengths belongs to no request either.
  */
 #include "transport/http_client.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <stdlib.h>
@@ -27,9 +34,15 @@
 
 #define CONNECT_TIMEOUT_MS 500L
 #define MAX_IDLE_AGE_S	   20L
-#define MAX_ANSWER_HEADERS 48 /* further ones are ignored */
+#define MAX_ANSWER_HEADERS 48 /* an answer with more is not accepted */
 #define FREE_HANDLES	   64 /* easy handles kept for reuse */
 
+enum head_state {
+	BEFORE_HEAD, /* also after an interim (1xx) answer */
+	IN_HEAD,
+	AFTER_HEAD, /* of the final answer: body and trailer */
+};
+
 struct fp_http_send {
 	struct fp_http_client *client;
 	CURL *easy;
@@ -42,6 +55,7 @@
 	bool once; /* at_most_once of the request */
 	bool unread_bytes; /* the connection had some; not sent there */
 	bool sent; /* sending on a connection has started */
+	enum head_state head_state;
 	const char *echo_header;
 	char *echo_value;
 	bool echo_seen; /* the answer has the header, with that value */
@@ -163,44 +177,110 @@
 	return http_status >= 200 && n_connects == 0;
 }
 
-/* Stores one header line "Name: value\r\n". A status line starts another
- * answer: what was stored belongs to an interim (1xx) answer and is dropped. */
-static size_t on_header(char *data, size_t size, size_t n, void *ctx)
+/* Whether a status line occurs behind the start of a line: what was sent before
+ * it broke off within a head. */
+static bool contains_status_line(const char *line)
 {
-	struct fp_http_send *s = ctx;
-	size_t len = size * n;
-	char *line;
-	char *value;
+	const char *at = line + 1;
 
-	if (len > 5 && memcmp(data, "HTTP/", 5) == 0) {
-		clear_answer(s);
-		s->echo_seen = false;
-		return len;
+	while ((at = strstr(at, "HTTP/1."))) {
+		if (isdigit((unsigned char)at[7]) && at[8] == ' ' &&
+		    isdigit((unsigned char)at[9]))
+			return true;
+		at++;
 	}
-	if (len <= 2) /* end of the headers; closes a connection out of step */
-		return may_be_stale(s) ? 0 : len;
-	if (s->n_headers == MAX_ANSWER_HEADERS)
-		return len;
-	line = strndup(data, len);
+	return false;
+}
+
+/* Splits "Name: value\r\n" in place; false if it is no header field. */
+static bool split_field(char *line, char **value)
+{
+	size_t name_bytes = strcspn(line, ": \t\r\n");
+
+	if (!name_bytes || line[name_bytes] != ':')
+		return false;
+	line[name_bytes] = '\0';
+	*value = line + name_bytes + 1;
+	*value += strspn(*value, " \t");
+	(*value)[strcspn(*value, "\r\n")] = '\0';
+	return true;
+}
+
+/* Whether a field agrees with the request and with the fields before it. */
+static bool field_is_valid(struct fp_http_send *s, const char *name,
+			   const char *value)
+{
+	const char *earlier;
+
+	if (s->echo_value && strcasecmp(name, s->echo_header) == 0) {
+		s->echo_seen = true;
+		return strcmp(value, s->echo_value) == 0;
+	}
+	if (strcasecmp(name, "Content-Length") != 0)
+		return true;
+	earlier = fp_http_find_header(s->headers, s->n_headers, name);
+	return value[0] && !value[strspn(value, "0123456789")] &&
+	       (!earlier || strcmp(earlier, value) == 0);
+}
+
+/* Stores a header field; false: the answer cannot be accepted. */
+static bool store_field(struct fp_http_send *s, const char *data, size_t len)
+{
+	char *line = strndup(data, len);
+	char *value;
+
 	if (!line)
-		return 0;
-	value = strchr(line, ':');
-	if (!value) {
+		return false;
+	if (s->n_headers == MAX_ANSWER_HEADERS || contains_status_line(line) ||
+	    !split_field(line, &value) || !field_is_valid(s, line, value)) {
 		free(line);
-		return len;
+		return false;
 	}
-	*value++ = '\0';
-	value += strspn(value, " \t");
-	value[strcspn(value, "\r\n")] = '\0';
 	s->headers[s->n_headers].name = line;
 	s->headers[s->n_headers].value = value;
 	s->n_headers++;
-	if (s->echo_value && strcasecmp(line, s->echo_header) == 0) {
-		if (strcmp(value, s->echo_value) != 0)
-			return 0;
-		s->echo_seen = true;
-	}
-	return len;
+	return true;
+}
+
+/* Starts a head; what was stored belongs to an interim answer. */
+static bool begin_head(struct fp_http_send *s, const char *data, size_t len)
+{
+	char *line = strndup(data, len);
+	bool valid = line && !contains_status_line(line);
+
+	free(line);
+	clear_answer(s);
+	s->echo_seen = false;
+	s->head_state = IN_HEAD;
+	return valid;
+}
+
+static bool end_head(struct fp_http_send *s)
+{
+	long http_status = 0;
+
+	curl_easy_getinfo(s->easy, CURLINFO_RESPONSE_CODE, &http_status);
+	s->head_state = http_status >= 200 ? AFTER_HEAD : BEFORE_HEAD;
+	return !may_be_stale(s);
+}
+
+/* Handles one line of a head or of a trailer, whose fields are not forwarded.
+ * If the line is not accepted, the library closes the connection. */
+static size_t on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct fp_http_send *s = ctx;
+	size_t len = size * n;
+	bool accepted;
+
+	if (s->head_state == AFTER_HEAD)
+		return len;
+	if (s->head_state == BEFORE_HEAD)
+		accepted = begin_head(s, data, len);
+	else if (data[0] == '\r' || data[0] == '\n')
+		accepted = end_head(s);
+	else
+		accepted = store_field(s, data, len);
+	return accepted ? len : 0;
 }
 
 /* --- open sockets --- */
@@ -298,12 +378,21 @@
  * have been detected. */
 static bool body_is_delimited(struct fp_http_send *s, long http_status)
 {
+	const char *coding;
+
 	if (http_status == 204 || http_status == 304)
 		return true;
-	if (fp_http_find_header(s->headers, s->n_headers, "Content-Length"))
-		return true;
+	coding = fp_http_find_header(s->headers, s->n_headers,
+				     "Transfer-Encoding");
+	if (coding)
+		return strcasecmp(coding, "chunked") == 0;
 	return fp_http_find_header(s->headers, s->n_headers,
-				   "Transfer-Encoding") != NULL;
+				   "Content-Length") != NULL;
+}
+
+static bool is_complete(struct fp_http_send *s, long http_status)
+{
+	return s->head_state == AFTER_HEAD && body_is_delimited(s, http_status);
 }
 
 static enum fp_status status_of(struct fp_http_send *s, CURLcode rc,
@@ -311,7 +400,7 @@
 {
 	switch (rc) {
 	case CURLE_OK:
-		return body_is_delimited(s, http_status) ? FP_OK : FP_IO;
+		return is_complete(s, http_status) ? FP_OK : FP_IO;
 	case CURLE_COULDNT_CONNECT:
 	case CURLE_COULDNT_RESOLVE_HOST:
 	case CURLE_URL_MALFORMAT:
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -45,7 +45,7 @@
 /** Result of a request. */
 struct fp_http_result {
 	/**
-	 * FP_OK: a complete answer. FP_UNAVAILABLE: no connection, so no byte
+	 * FP_OK: a complete answer, with at most 48 header fields. FP_UNAVAILABLE: no connection, so no byte
 	 * of the request was sent. FP_TIMEOUT, FP_IO: the server may have run
 	 * the request.
 	 */
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -128,6 +128,7 @@
 struct Result {
 	enum fp_status status = FP_AGAIN;
 	int http_status = 0;
+	uint32_t n_headers = 0;
 	std::string body;
 };
 
@@ -177,6 +178,7 @@
 
 		r->status = res->status;
 		r->http_status = res->http_status;
+		r->n_headers = res->n_headers;
 		r->body.assign((const char *)res->body, res->body_bytes);
 	}
 };
@@ -247,6 +249,10 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 		"Request-Id: a\r\n\r\n3\r\n123\r\n",
 		"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n123",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n"
+		"Request-Id: a\r\n\r\n123",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+		"Content-Length: 4\r\nRequest-Id: a\r\n\r\n123",
 		"",
 	};
 
@@ -257,6 +263,111 @@
 	}
 }
 
+/* Guards against a truncated head that reaches the caller as a complete answer:
+ * each length of a head but the whole, for answers without a body. */
+TEST_F(HttpClient, AHeadThatBreaksOffIsNoAnswer)
+{
+	const std::string heads[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+		"HTTP/1.1 204 No Content\r\n",
+		"HTTP/1.1 304 Not Modified\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+		"Content-Length: 0\r\n",
+		REFUSAL,
+	};
+
+	for (const std::string &head : heads) {
+		std::string whole = head + "Request-Id: a\r\nX: y\r\n\r\n";
+
+		for (size_t n = 0; n < whole.size(); n++) {
+			ScriptedServer server({ { whole.substr(0, n), true } });
+
+			EXPECT_EQ(FP_IO, call(server, "a").status)
+				<< whole.substr(0, n);
+		}
+		ScriptedServer server({ { whole, true } });
+		EXPECT_EQ(FP_OK, call(server, "a").status) << whole;
+	}
+}
+
+/* Guards against a request that is called not run, and run again elsewhere,
+ * because of the beginning of an earlier refusal: each length of it, in place
+ * of the answer on a connection that ends then. */
+TEST_F(HttpClient, TheBeginningOfAnEarlierRefusalIsNoAnswer)
+{
+	for (const char *id : { "Request-Id: a\r\n", "" }) {
+		std::string whole = REFUSAL + id + "\r\n";
+
+		for (size_t n = 1; n <= whole.size(); n++) {
+			ScriptedServer server({ { answer_to("a", "first") },
+						{ whole.substr(0, n), true } });
+
+			EXPECT_EQ("first", call(server, "a").body);
+			EXPECT_EQ(FP_IO, call(server, "b").status)
+				<< whole.substr(0, n);
+		}
+	}
+}
+
+/* The same bytes, but followed by the answer itself, which continues their
+ * head: its status must not be that of the earlier answer. */
+TEST_F(HttpClient, TheBeginningOfAnEarlierAnswerDoesNotMixWithTheNext)
+{
+	const std::string earlier[] = {
+		REFUSAL + "Request-Id: a\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nServer: w\r\nNot-Run: "
+		"1\r\nRequest-Id: a\r\n",
+		answer_to("a", "first"),
+	};
+
+	for (const std::string &bytes : earlier) {
+		for (size_t n = 1; n <= bytes.size(); n++) {
+			ScriptedServer server(
+				{ { answer_to("a", "first") },
+				  { bytes.substr(0, n) + answer_to("b"), true },
+				  { answer_to("c") } });
+
+			EXPECT_EQ("first", call(server, "a").body);
+			EXPECT_EQ(FP_IO, call(server, "b").status)
+				<< bytes.substr(0, n);
+			EXPECT_EQ("mine", call(server, "c").body);
+		}
+	}
+}
+
+/* The fields of a trailer come after the answer; they are no part of its head.
+ * A status line among them makes the answer invalid. */
+TEST_F(HttpClient, ATrailerIsNotPartOfTheHead)
+{
+	const std::string answer =
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		"Request-Id: a\r\n\r\n4\r\nmine\r\n0\r\n";
+
+	for (const char *trailer : { "Request-Id: z\r\n", "Not-Run: 1\r\n" }) {
+		ScriptedServer server({ { answer + trailer + "\r\n", true } });
+		Result r = call(server, "a");
+
+		EXPECT_EQ(FP_OK, r.status) << trailer;
+		EXPECT_EQ("mine", r.body) << trailer;
+		EXPECT_EQ(2u, r.n_headers) << trailer;
+	}
+	ScriptedServer server({ { answer + REFUSAL + "\r\n", true } });
+	EXPECT_EQ(FP_IO, call(server, "a").status);
+}
+
+/* A field that is left out may be the one that vouches for the answer. */
+TEST_F(HttpClient, AnAnswerWithTooManyFieldsIsNotAccepted)
+{
+	for (int n : { 40, 60 }) {
+		std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+
+		for (int i = 0; i < n; i++)
+			head += "X-" + std::to_string(i) + ": y\r\n";
+		ScriptedServer server({ { head + "Request-Id: a\r\n\r\n" } });
+		EXPECT_EQ(n == 40 ? FP_OK : FP_IO, call(server, "a").status);
+	}
+}
+
 TEST_F(HttpClient, AnAnswerWithoutEndIsCutOff)
 {
 	const char *const endless[] = {
