Write a member record only over the one that its process knows

Cause: the store may do a write that it did not answer seconds later. The own record was written without a condition, so the first process's write replaced the record of the second and went with the lease of the first. The second process took the record of the earlier id for its own, did not write again when it went missing, and each renewal of its lease extended its rate share.

Ruled out: the new process does not write (the others saw its id); the others drop a member that is there (the store has no record at the end).

Now a write names the revision that it replaces; a late write of an earlier state or process finds another one and has no effect. A foreign or lost record under the own name is written again when it is read. A renewal extends the share only while the record is the process's own.

--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -10,6 +10,14 @@
  * to the store failed in between, REMOVE_AFTER_US starts again when the store
  * answers.
  *
+ * The store may do a write that it did not answer seconds later, even after the
+ * process that sent it has ended. So a write of the own record takes effect only
+ * if the record that it replaces is the one that this process knows. If another
+ * process's record is read under this node's name all the same, it is replaced
+ * at once. A node spends a rate share only while the others count it: a renewal
+ * of the lease extends the validity of the share only while the record that
+ * stands under the node's name is its own.
+ *
  * While a delegate sends the changes of members (directory_relay.c), the store
  * is not watched. Each node still lists the records itself before it removes a
  * member.
@@ -41,6 +49,9 @@
 /* This node's rate share becomes invalid this long before the others can remove
  * the member, to allow for clock drift. */
 #define VALIDITY_MARGIN_US (300 * FP_US_PER_MS)
+/* A change of this node's record has been in the store for at most this long
+ * when it is read. */
+#define READ_DELAY_US FP_US_PER_S
 /* After this time all members know a new member, or have been without the store
  * until their own shares became invalid. */
 #define ESTABLISHED_US (LEASE_US + REMOVE_AFTER_US)
@@ -87,7 +98,11 @@
 	}
 	if (st == FP_NOT_FOUND) {
 		fp_log(FP_LOG_WARN, "lease_ended", "lease=%" PRIu64, d->lease);
+		/* The store removes the record with the lease. */
+		if (d->counted)
+			d->own_revision = 0;
 		d->lease = 0;
+		d->counted = false;
 		d->written = false;
 		directory_schedule(&d->own_record, 0);
 	} else {
@@ -129,7 +144,7 @@
 
 /*
  * This node may use its rate share while its record is in the store under the
- * lease. The others remove the member REMOVE_AFTER_US after the lease has
+ * lease (counted). The others remove the member REMOVE_AFTER_US after the lease has
  * expired, or later. The share's validity ends before that without any message,
  * counted from the request of the last renewal. A process that starts while the
  * record of the previous one is in the store inherits its member_since_ms, so
@@ -137,8 +152,8 @@
  */
 static void extend_validity(struct fp_directory *d)
 {
-	if (!d->written && !d->validity.until_us)
-		return; /* the record was never written */
+	if (!d->counted)
+		return;
 	d->validity.from_us = validity_from_us(d);
 	d->validity.until_us = d->lease_requested_us + LEASE_US +
 			       REMOVE_AFTER_US - VALIDITY_MARGIN_US;
@@ -151,6 +166,22 @@
 	d->ops.share_validity(d->ops.ctx, &d->validity);
 }
 
+/* The record under this node's name is not the one that was to be replaced: a
+ * write that was not answered took effect after all. */
+static void on_write_conflict(struct fp_directory *d,
+			      const struct fp_registry_result *r)
+{
+	uint64_t known = d->own_revision;
+
+	d->own_revision = r->n_items ? r->items[0].revision : 0;
+	fp_log(FP_LOG_WARN, "own_record_conflict",
+	       "expected=%" PRIu64 " found=%" PRIu64, known, d->own_revision);
+	if (d->own_revision == known)
+		directory_task_failed(&d->own_record, r->status);
+	else
+		directory_schedule(&d->own_record, 0);
+}
+
 static void on_written(void *ctx, const struct fp_registry_result *r)
 {
 	struct fp_directory *d = ctx;
@@ -158,8 +189,14 @@
 	if (d->closed)
 		return;
 	d->write_pending = false;
+	if (r->status == FP_CONFLICT) {
+		on_write_conflict(d, r);
+		return;
+	}
 	if (!check_lease_call(d, r->status))
 		return;
+	d->own_revision = r->revision;
+	d->counted = true;
 	d->written = !d->dirty;
 	d->since_inherited = false;
 	extend_validity(d);
@@ -185,7 +222,7 @@
 	d->dirty = false;
 	d->calls[FP_DIRECTORY_RECORD]++;
 	d->cfg.registry->ops->put(d->cfg.registry, key, text, strlen(text),
-				  d->lease, FP_REGISTRY_ANY, on_written, d);
+				  d->lease, d->own_revision, on_written, d);
 	free(text);
 }
 
@@ -371,6 +408,37 @@
 	return rec->missing_us ? rec->missing_revision : rec->revision;
 }
 
+/* Handles a change of the record under this node's name that this process did
+ * not make; revision 0: the record is gone. Reads may report changes that are
+ * older than the last write. */
+static void own_record_lost(struct fp_directory *d, uint64_t id,
+			    uint64_t changed_revision, uint64_t revision)
+{
+	int64_t until_us = fp_mono_us(d->cfg.clock) - READ_DELAY_US +
+			   REMOVE_AFTER_US - VALIDITY_MARGIN_US;
+
+	if (changed_revision <= d->own_revision)
+		return;
+	d->own_revision = revision;
+	if (!d->counted || d->leaving)
+		return;
+	fp_log(FP_LOG_WARN, "own_record_lost",
+	       "by=%016" PRIx64 " revision=%" PRIu64, id, changed_revision);
+	d->counted = false;
+	/* The lease of another process's record may end at any time, and the
+	 * others remove the member REMOVE_AFTER_US later. */
+	if (revision && until_us < d->validity.until_us) {
+		d->validity.until_us = until_us;
+		d->ops.share_validity(d->ops.ctx, &d->validity);
+	}
+	own_record_changed(d);
+}
+
+static bool is_own_name(const struct fp_directory *d, const char *name)
+{
+	return strcmp(name, d->cfg.self.name) == 0;
+}
+
 static void mark_missing(struct fp_directory *d, struct directory_record *rec,
 			 uint64_t revision)
 {
@@ -379,10 +447,8 @@
 	rec->missing_revision = revision;
 	rec->missing_us = fp_loop_now_us(d->loop);
 	fp_log(FP_LOG_INFO, "member_missing", "member=%s", rec->member.name);
-	/* The lease of the own record has expired: write the record again. */
-	if (strcmp(rec->member.name, d->cfg.self.name) == 0 && !d->leaving &&
-	    rec->member.id == d->cfg.self.id && d->written)
-		own_record_changed(d);
+	if (is_own_name(d, rec->member.name))
+		own_record_lost(d, 0, revision, 0);
 }
 
 /* Applies a record from the store; returns whether the members changed. */
@@ -413,11 +479,15 @@
 			abort();
 		*at = rec;
 	}
-	/* An earlier process of this node wrote the record: keep its start. */
-	if (m.id != d->cfg.self.id && !d->validity.until_us &&
-	    strcmp(m.name, d->cfg.self.name) == 0) {
-		d->cfg.self.member_since_ms = m.member_since_ms;
-		d->since_inherited = true;
+	if (is_own_name(d, m.name) && m.id != d->cfg.self.id) {
+		own_record_lost(d, m.id, it->revision, it->revision);
+		/* An earlier process of this node: keep its start. */
+		if (!d->validity.until_us) {
+			d->cfg.self.member_since_ms = m.member_since_ms;
+			d->since_inherited = true;
+		}
+	} else if (is_own_name(d, m.name) && it->revision > d->own_revision) {
+		d->own_revision = it->revision;
 	}
 	rec->listed = true;
 	rec->missing_us = 0;
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -90,7 +90,11 @@
 				     * renewed the lease */
 	int64_t keep_requested_us; /* start of the last call for own_record */
 	struct fp_share_validity validity; /* of this node's rate share */
-	bool written; /* the store has the newest own record */
+	uint64_t own_revision; /* store revision of the record under this
+				* node's name, as last known; 0: none */
+	bool counted; /* that record is of this process, so that the others
+		       * count this node as a member */
+	bool written; /* and it is the newest one */
 	bool write_pending; /* a write of it is in flight */
 	bool dirty; /* it changed during the write */
 	bool leaving;
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -37,7 +37,8 @@
 struct fp_registry_result {
 	/**
 	 * FP_OK. FP_NOT_FOUND: no such item or lease. FP_CONFLICT: the item
-	 * has another revision; no effect. FP_EXHAUSTED: the store no longer
+	 * has another revision; no effect; items has its present state, and is
+	 * empty if there is none. FP_EXHAUSTED: the store no longer
 	 * has all changes after the watch's revision; list again.
 	 * FP_UNAVAILABLE: no effect. FP_TIMEOUT: the effect is unknown.
 	 */
--- a/test/directory_sim.h
+++ b/test/directory_sim.h
@@ -34,6 +34,18 @@
 		FP_OK; /* every call fails with it, unless FP_OK */
 	bool lose_put_answers =
 		false; /* puts are applied, but answered FP_TIMEOUT */
+	enum fp_status put_status = FP_OK; /* every put fails with it */
+	/* Delay of the next put, which is answered FP_TIMEOUT at once and done
+	 * later if its condition still holds; 0: done at once. */
+	std::function<int()> put_delay_ms = [] { return 0; };
+	struct late_put {
+		int64_t at_us;
+		std::string key, value;
+		uint64_t lease, expect;
+	};
+	std::vector<late_put> late_puts;
+	int64_t lease_ttl_us = 0; /* 0: leases end only by end_lease() */
+	std::map<uint64_t, int64_t> renewed_us; /* leases */
 	uint64_t compacted = 0; /* FP_EXHAUSTED for older watch revisions */
 	std::map<std::string, int> calls; /* number, by operation */
 
@@ -182,6 +194,38 @@
 			}
 	}
 
+	/* Whether a put has an effect; FP_OK, or its failure. */
+	enum fp_status check_put(const std::string &key, uint64_t lease,
+				 uint64_t expect)
+	{
+		uint64_t present = items.count(key) ? items[key].revision : 0;
+
+		if (expect != FP_REGISTRY_ANY && expect != present)
+			return FP_CONFLICT;
+		return lease && !leases.count(lease) ? FP_NOT_FOUND : FP_OK;
+	}
+
+	/* Does the late puts that are due, and ends leases. */
+	void run_due()
+	{
+		int64_t now_us = fp_loop_now_us(loop);
+		std::vector<late_put> all;
+
+		all.swap(late_puts);
+		for (auto &p : all) {
+			if (p.at_us > now_us)
+				late_puts.push_back(p);
+			else if (check_put(p.key, p.lease, p.expect) == FP_OK)
+				write(p.key, p.value, p.lease);
+		}
+		if (!lease_ttl_us)
+			return;
+		std::map<uint64_t, bool> open = leases;
+		for (auto &l : open)
+			if (now_us - renewed_us[l.first] > lease_ttl_us)
+				end_lease(l.first);
+	}
+
 	/* Ends the watches whose wait time has passed. Hung watches end with
 	 * FP_TIMEOUT, one second after their wait time. */
 	void expire()
@@ -280,19 +324,27 @@
 	{
 		fake_registry *f = of(r);
 		pending *p = f->start("put", done, ctx);
-		uint64_t present =
-			f->items.count(key) ? f->items[key].revision : 0;
+		std::string text(static_cast<const char *>(value), bytes);
+		int delay_ms = f->put_delay_ms();
 
-		if (p->status == FP_OK && lease && !f->leases.count(lease))
-			p->status = FP_NOT_FOUND;
-		else if (p->status == FP_OK && expect != FP_REGISTRY_ANY &&
-			 expect != present)
-			p->status = FP_CONFLICT;
-		else if (p->status == FP_OK)
-			f->write(key,
-				 std::string(static_cast<const char *>(value),
-					     bytes),
-				 lease);
+		if (p->status == FP_OK)
+			p->status = f->put_status;
+		if (p->status == FP_OK && delay_ms) {
+			f->late_puts.push_back(
+				{ fp_loop_now_us(f->loop) + delay_ms * 1000,
+				  key, text, lease, expect });
+			p->status = FP_TIMEOUT;
+			f->send(p);
+			return;
+		}
+		if (p->status == FP_OK)
+			p->status = f->check_put(key, lease, expect);
+		if (p->status == FP_OK) {
+			f->write(key, text, lease);
+			p->revision = f->revision;
+		} else if (p->status == FP_CONFLICT && f->items.count(key)) {
+			p->items.push_back({ key, f->items[key] });
+		}
 		if (f->lose_put_answers && p->status == FP_OK)
 			p->status = FP_TIMEOUT;
 		f->send(p);
@@ -308,6 +360,7 @@
 		if (p->status == FP_OK) {
 			p->lease = f->next_lease++;
 			f->leases[p->lease] = true;
+			f->renewed_us[p->lease] = fp_loop_now_us(f->loop);
 		}
 		f->send(p);
 	}
@@ -320,6 +373,8 @@
 
 		if (p->status == FP_OK && !f->leases.count(lease))
 			p->status = FP_NOT_FOUND;
+		else if (p->status == FP_OK)
+			f->renewed_us[lease] = fp_loop_now_us(f->loop);
 		f->send(p);
 	}
 
@@ -448,6 +503,7 @@
 	void run_ms(int ms)
 	{
 		for (int i = 0; i < ms; i++) {
+			store.run_due();
 			store.expire();
 			for (int round = 0; round < 4; round++)
 				fp_loop_run_once(loop, 0);
--- a/test/standin/lib_platform.c
+++ b/test/standin/lib_platform.c
@@ -213,8 +213,10 @@
 }
 
 /* Runs a transaction; returns its HTTP status: 200 if it took effect, 412 if a
- * precondition does not hold, 404 if a lease is not valid. */
-static int run_transaction(struct platform_store *s, const json_t *body)
+ * precondition does not hold (adds the present item to present), 404 if a lease
+ * is not valid. */
+static int run_transaction(struct platform_store *s, const json_t *body,
+			   json_t *present)
 {
 	const json_t *rows = json_object_get(body, "precondition");
 	const json_t *writes = json_object_get(body, "writes");
@@ -227,8 +229,11 @@
 		int64_t current = it && it->value ? it->revision : 0;
 
 		if (current !=
-		    json_integer_value(json_object_get(row, "revision")))
+		    json_integer_value(json_object_get(row, "revision"))) {
+			if (current)
+				json_array_append_new(present, item_json(it));
 			return 412;
+		}
 	}
 	for (i = 0; i < json_array_size(writes); i++) {
 		const json_t *w = json_array_get(writes, i);
@@ -264,8 +269,11 @@
 
 	pthread_mutex_lock(&s->lock);
 	if (strcmp(r->path, "/kv-txn") == 0) {
-		status = run_transaction(s, in);
-		*body = json_pack("{s:I}", "revision", (json_int_t)s->revision);
+		json_t *present = json_array();
+
+		status = run_transaction(s, in, present);
+		*body = json_pack("{s:I,s:o}", "revision",
+				  (json_int_t)s->revision, "items", present);
 	} else if (strcmp(r->path, "/kv-lease") == 0) {
 		status = 200;
 		*body = json_pack("{s:I,s:s}", "lease",
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -188,6 +188,63 @@
 		  store.items["fulmar/nodes/n1"].value.find("\"slots\":14"));
 }
 
+/*
+ * Guards against two nodes that spend one rate share: a process writes its
+ * record, is killed and starts again, and the store does the first write only
+ * then. The new process must keep its record, also when the lease of the first
+ * one ends.
+ */
+TEST_F(Directory, ALateWriteOfAnEarlierProcessDoesNotReplaceTheRecord)
+{
+	int n_puts = 0;
+
+	store.lease_ttl_us = 6000000;
+	store.put_delay_ms = [&] { return n_puts++ ? 0 : 5000; };
+	start_with_n2(1500);
+	ASSERT_EQ(1u, store.items.count("fulmar/nodes/n1"));
+	fp_directory_close(d);
+	run_ms(300);
+	fp_directory_end(d);
+	cfg.self.id = 77;
+	start();
+	for (int ms = 0; ms < 20000; ms++) {
+		run_ms(1);
+		ASSERT_TRUE(ms < 1000 || store.items.count("fulmar/nodes/n1"))
+			<< ms;
+	}
+	EXPECT_TRUE(store.late_puts.empty());
+	EXPECT_NE(std::string::npos,
+		  store.items["fulmar/nodes/n1"].value.find("\"id\":77,"));
+}
+
+/* A record under this node's name that is not its own, however it came there:
+ * it is replaced, and until then renewals of the lease do not keep the rate
+ * share valid. */
+TEST_F(Directory, ARecordOfAnotherProcessIsReplaced)
+{
+	start_with_n2(3000);
+	ASSERT_GT(validity.until_us, clock.now_us + 6000000);
+	store.put_status = FP_UNAVAILABLE;
+	store.write("fulmar/nodes/n1", member_json("n1", 9, true));
+	int64_t replaced_us = clock.now_us;
+	run_ms(4000);
+	EXPECT_LE(validity.until_us, replaced_us + 2500000);
+	store.put_status = FP_OK;
+	run_ms(2000);
+	EXPECT_NE(std::string::npos,
+		  store.items["fulmar/nodes/n1"].value.find("\"id\":1,"));
+	EXPECT_GT(validity.until_us, clock.now_us + 6000000);
+}
+
+/* An older change that the delegate or a slow watch reports after the write is
+ * no reason to write again. */
+TEST_F(Directory, AnOldRecordThatIsReportedLateIsNotReplaced)
+{
+	store.write("fulmar/nodes/n1", member_json("n1", 9, true));
+	start_with_n2(3000);
+	EXPECT_EQ(1, store.calls["put"] - 1 /* secret */);
+}
+
 /* The requirement is two seconds from the store's return. */
 TEST_F(Directory, AnExpiredRecordIsBackWithinTwoSeconds)
 {
--- a/test/test_directory_fleet.cc
+++ b/test/test_directory_fleet.cc
@@ -103,6 +103,7 @@
 	int64_t confirmed_us = 0; /* request time of the last confirmation */
 	struct fp_directory *d = nullptr;
 	std::map<std::string, struct fp_member> members;
+	struct fp_share_validity validity = {};
 	class DirectoryFleet *fleet = nullptr;
 };
 
@@ -174,8 +175,10 @@
 		ops.config_confirmed = [](void *ctx, int64_t requested_us) {
 			static_cast<Node *>(ctx)->confirmed_us = requested_us;
 		};
-		ops.share_validity = [](void *,
-					const struct fp_share_validity *) {};
+		ops.share_validity = [](void *ctx,
+					const struct fp_share_validity *v) {
+			static_cast<Node *>(ctx)->validity = *v;
+		};
 		ops.send = [](void *ctx, const char *addr,
 			      const struct fp_msg_shared *m) {
 			auto *t = static_cast<Node *>(ctx);
@@ -198,6 +201,7 @@
 		fp_directory_close(n.d);
 		ended.push_back(n.d);
 		n.d = nullptr;
+		n.validity = {};
 		n.members.clear();
 	}
 
@@ -288,6 +292,25 @@
 		return store.calls["list"] + store.calls["watch"];
 	}
 
+	/* Expects that a node whose rate share is valid has a record, or had
+	 * one so recently that no other node has removed it. */
+	void expect_shares_are_counted(const std::string &when)
+	{
+		for (auto &n : nodes) {
+			if (store.items.count("fulmar/nodes/" + n->name))
+				recorded_us[n->name] = clock.now_us;
+			bool valid = n->d &&
+				     n->validity.from_us <= clock.now_us &&
+				     n->validity.until_us > clock.now_us;
+
+			EXPECT_TRUE(!valid ||
+				    clock.now_us - recorded_us[n->name] <
+					    2500000)
+				<< n->name << " " << when;
+		}
+	}
+
+	std::map<std::string, int64_t> recorded_us; /* last seen in the store */
 	std::vector<struct fp_directory *> ended;
 };
 
@@ -516,4 +539,74 @@
 	}
 }
 
+/*
+ * Nodes are killed and start again while the store does writes 1 to 6 s late.
+ * No node spends a share that the others do not count, and in the end each
+ * record is that of the process that runs.
+ */
+TEST_F(DirectoryFleet, LateWritesReplaceNoRecord)
+{
+	const char *seed_env = getenv("FP_SEED");
+	std::vector<uint64_t> seeds;
+
+	for (uint64_t seed = 1; !seed_env && seed <= 60; seed++)
+		seeds.push_back(seed);
+	if (seed_env)
+		seeds = { strtoull(seed_env, nullptr, 10) };
+	store.lease_ttl_us = 6000000;
+	for (uint64_t seed : seeds) {
+		std::string when = "seed " + std::to_string(seed);
+
+		random.seed(seed);
+		seed_jitter(seed);
+		store.write("op/config", config_json(5));
+		store.put_delay_ms = [this] {
+			return chance() < 0.3 ? 1000 + pick(5000) : 0;
+		};
+		for (int i = 0; i < 8; i++)
+			add(i, 2);
+		for (int step = 0; step < 40; step++) {
+			Node &n = *nodes[(size_t)pick(8)];
+
+			switch (pick(4)) {
+			case 0:
+				stop_node(n);
+				break;
+			case 1:
+				stop_node(n);
+				start_node(n);
+				break;
+			default:
+				if (n.d)
+					fp_directory_set_worker(
+						n.d, (uint32_t)step + 1, 0,
+						true);
+			}
+			for (int ms = pick(1500); ms > 0; ms -= 20) {
+				run_fleet_ms(20);
+				expect_shares_are_counted(when);
+			}
+		}
+		store.put_delay_ms = [] { return 0; };
+		for (int ms = 0; ms < 20000; ms += 20) {
+			run_fleet_ms(20);
+			expect_shares_are_counted(when);
+		}
+		EXPECT_TRUE(store.late_puts.empty());
+		expect_members_match_store(when.c_str());
+		for (auto &n : nodes)
+			EXPECT_EQ(n->d != nullptr,
+				  store.items.count("fulmar/nodes/" +
+						    n->name) == 1)
+				<< n->name << " " << when;
+		for (auto &n : nodes)
+			stop_node(*n);
+		nodes.clear();
+		store.items.clear();
+		run_fleet_ms(10);
+		if (HasFailure())
+			break;
+	}
+}
+
 } // namespace
