Platform prefixes begin a path byte for byte

Cause: the slash at the end of each prefix was removed before the comparison, as fits our own declarations, whose prefixes match whole path segments. On the users' platform a prefix ends with a slash and begins the path byte for byte.

Ruled out: an address used again (the request names its instance); a record that is read wrongly (prefixes are decoded as written, "/rota/x" and "/x" are right).

On the same path: empty segments are proper on the platform (400 before), a port in the Host header does not hide the host (404 before), and a target with a "#" is refused, since the rest was dropped when it was forwarded.

--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -208,7 +208,7 @@
 		refuse(t, x, r, FP_CLASS_NORMAL, FP_REASON_TOO_LARGE);
 		return NULL;
 	}
-	if (!fp_path_is_normalized(r->uri)) {
+	if (!fp_path_is_normalized(r->uri, t->config->byte_prefixes)) {
 		refuse(t, x, r, FP_CLASS_NORMAL, FP_REASON_MALFORMED);
 		return NULL;
 	}
--- a/src/node/path.c
+++ b/src/node/path.c
@@ -35,7 +35,7 @@
 {
 	size_t i;
 
-	if (len == 0 || (len == 1 && seg[0] == '.') ||
+	if ((len == 1 && seg[0] == '.') ||
 	    (len == 2 && seg[0] == '.' && seg[1] == '.'))
 		return false;
 	for (i = 0; i < len; i++) {
@@ -47,17 +47,20 @@
 	return true;
 }
 
-bool fp_path_is_normalized(const char *uri)
+bool fp_path_is_normalized(const char *uri, bool empty_segments)
 {
-	size_t end = strcspn(uri, "?#");
+	size_t end = strcspn(uri, "?");
 	size_t at = 1;
 	size_t len;
 
-	if (uri[0] != '/')
+	/* A fragment is not part of a request target and would not be
+	 * forwarded. */
+	if (uri[0] != '/' || strchr(uri, '#'))
 		return false;
 	while (at < end) {
-		len = strcspn(uri + at, "/?#");
-		if (!segment_is_normalized(uri + at, len))
+		len = strcspn(uri + at, "/?");
+		if ((len == 0 && !empty_segments) ||
+		    !segment_is_normalized(uri + at, len))
 			return false;
 		at += len + 1;
 	}
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -138,21 +138,37 @@
 	return found;
 }
 
-/* Length of a prefix without trailing slashes; 0 for "/". */
-static size_t prefix_length(const char *prefix)
+/* Length of a prefix that counts for its match and its rank: without trailing
+ * slashes where segments are matched. */
+static size_t prefix_length(const struct fp_config *c, const char *prefix)
 {
 	size_t len = strlen(prefix);
 
-	while (len > 0 && prefix[len - 1] == '/')
+	while (!c->byte_prefixes && len > 0 && prefix[len - 1] == '/')
 		len--;
 	return len;
 }
 
-static bool prefix_matches(const char *prefix, size_t len, const char *path)
+static bool prefix_matches(const struct fp_config *c, const char *prefix,
+			   size_t len, const char *path)
 {
-	if (path[0] != '/' || strncmp(prefix, path, len) != 0)
+	size_t path_len = strcspn(path, "?");
+
+	if (path[0] != '/' || len > path_len || memcmp(prefix, path, len) != 0)
+		return false;
+	return c->byte_prefixes || len == path_len || path[len] == '/';
+}
+
+/* Whether the Host header of a request names the host of a route. */
+static bool host_matches(const char *route_host, const char *host)
+{
+	size_t len = strlen(route_host);
+
+	if (!host || strncasecmp(route_host, host, len) != 0)
 		return false;
-	return path[len] == '\0' || path[len] == '/' || path[len] == '?';
+	if (host[len] != ':')
+		return host[len] == '\0';
+	return !host[len + 1 + strspn(host + len + 1, "0123456789")];
 }
 
 const struct fp_route *fp_config_find_route(const struct fp_config *c,
@@ -167,7 +183,7 @@
 	for (i = 0; i < c->n_routes; i++) {
 		const struct fp_route *r = &c->routes[i];
 		bool exact = strcmp(r->method, method) == 0;
-		size_t len = prefix_length(r->prefix);
+		size_t len = prefix_length(c, r->prefix);
 		/* longer prefix first; at the same length a named method
 		 * first */
 		size_t rank = 2 * len + (exact ? 2 : 1);
@@ -175,11 +191,12 @@
 		if (!exact && strcmp(r->method, "*") != 0)
 			continue;
 		if (r->host[0]) {
-			if (!host || strcasecmp(r->host, host) != 0)
+			if (!host_matches(r->host, host))
 				continue;
 			rank += HOST_RANK;
 		}
-		if (rank <= best_rank || !prefix_matches(r->prefix, len, path))
+		if (rank <= best_rank ||
+		    !prefix_matches(c, r->prefix, len, path))
 			continue;
 		best = r;
 		best_rank = rank;
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -112,6 +112,10 @@
 	uint32_t n_objectives;
 	uint32_t n_recent_change_ids;
 	uint32_t active_preset; /**< index into presets */
+	/** A prefix matches if the path begins with it, byte for byte; otherwise
+	 *  it matches complete path segments, and a slash at its end, or at that
+	 *  of the path, makes no difference. */
+	bool byte_prefixes;
 	bool keyless; /**< no organisations: no request needs a key */
 	/** of the change that created this revision */
 	char change_id[FP_NAME_BYTES];
@@ -147,10 +151,11 @@
 /**
  * Finds the route with the longest matching prefix; NULL when none matches.
  *
- * A prefix matches complete path segments only; the query is ignored. A route
- * with a matching host has priority over one for any host.
+ * The query is ignored; byte_prefixes tells what a prefix matches. A route with
+ * a matching host has priority over one for any host.
  *
- * @param host  as the caller sent it, case is ignored; NULL: not given
+ * @param host  as the caller sent it; case is ignored, and a port unless the
+ *              route's host has one; NULL: not given
  */
 const struct fp_route *fp_config_find_route(const struct fp_config *c,
 					    const char *host,
--- a/test/test_config.cc
+++ b/test/test_config.cc
@@ -331,4 +331,91 @@
 	EXPECT_EQ(nullptr, fp_config_find_route(&c, nullptr, "POST", "/a"));
 }
 
+/* Without byte_prefixes, slashes at the end make no difference. */
+TEST(Config, SegmentsMatchWithAndWithoutTheLastSlash)
+{
+	struct fp_route r = route("a", "*", "/a/");
+	struct fp_config c = {};
+
+	c.routes = &r;
+	c.n_routes = 1;
+	for (const char *path : { "/a", "/a/", "/a/b", "/a?b" })
+		EXPECT_EQ(&r, fp_config_find_route(&c, nullptr, "GET", path))
+			<< path;
+	for (const char *path : { "/", "/ab", "/ab/", "/?/a/" })
+		EXPECT_EQ(nullptr,
+			  fp_config_find_route(&c, nullptr, "GET", path))
+			<< path;
+}
+
+/*
+ * Guards against requests that run at a service to which no route sends them:
+ * where prefixes are defined byte for byte, a path that lacks the last slash of
+ * a prefix does not begin with it. Each pair of a path and a set of routes is
+ * compared with the definition.
+ */
+TEST(Config, BytePrefixesBeginThePath)
+{
+	struct fp_route all[] = {
+		route("root", "*", "/"),     route("a", "*", "/a/"),
+		route("ab", "*", "/a/b/"),   route("a2", "*", "/a//"),
+		route("upper", "*", "/A/"),  route("dot", "*", "/a./"),
+		route("query", "*", "/a?/"),
+	};
+	const char *const paths[] = {
+		"/",	 "/a",	   "/a/",   "/a//",   "/a//b", "/a/b",
+		"/a/b/", "/a/bc",  "/ab/",  "/a?/a/", "/a?/",  "/a/?b/",
+		"/A/",	 "/a./b/", "/a/b?", "/?/a/",  "//",    "/a%2Fb/",
+	};
+
+	for (uint32_t set = 0; set < 1u << 7; set++) {
+		struct fp_route routes[7];
+		struct fp_config c = {};
+
+		for (uint32_t i = 0; i < 7; i++)
+			if (set >> i & 1)
+				routes[c.n_routes++] = all[i];
+		c.routes = routes;
+		c.byte_prefixes = true;
+		for (const char *path : paths) {
+			std::string bare =
+				std::string(path).substr(0, strcspn(path, "?"));
+			const struct fp_route *best = nullptr;
+
+			for (uint32_t i = 0; i < c.n_routes; i++)
+				if (bare.rfind(routes[i].prefix, 0) == 0 &&
+				    (!best || strlen(routes[i].prefix) >
+						      strlen(best->prefix)))
+					best = &routes[i];
+			EXPECT_EQ(best, fp_config_find_route(&c, nullptr, "GET",
+							     path))
+				<< path << " set " << set;
+		}
+	}
+}
+
+TEST(Config, APortInTheHostHeaderIsIgnored)
+{
+	struct fp_route routes[] = {
+		route("one", "*", "/", "one.example"),
+		route("port", "*", "/", "two.example:80"),
+	};
+	struct fp_config c = {};
+
+	c.routes = routes;
+	c.n_routes = 2;
+	for (const char *host :
+	     { "one.example", "One.Example:8001", "one.example:" })
+		EXPECT_EQ(&routes[0],
+			  fp_config_find_route(&c, host, "GET", "/x"))
+			<< host;
+	EXPECT_EQ(&routes[1],
+		  fp_config_find_route(&c, "two.example:80", "GET", "/x"));
+	for (const char *host :
+	     { "one.example.org", "one.example:80x", "one.exampl",
+	       "two.example", "two.example:8080", "" })
+		EXPECT_EQ(nullptr, fp_config_find_route(&c, host, "GET", "/x"))
+			<< host;
+}
+
 } // namespace
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -50,6 +50,22 @@
 	EXPECT_EQ("front", last(m, "Fulmarpass-Caller-Service"));
 }
 
+/* Paths are forwarded as they are, and belong to a route only if they begin with
+ * its prefix. */
+TEST_F(Hosted, PathsAreMatchedByteForByte)
+{
+	serve();
+	Machine &m = *machines[0];
+
+	EXPECT_EQ(200, call(m, "/deep/").status);
+	EXPECT_EQ(200, call(m, "/deep//x").status);
+	EXPECT_EQ(200, call(m, "/deep/x//").status);
+	EXPECT_EQ(404, call(m, "/deep").status);
+	EXPECT_EQ(404, call(m, "/deep?/deep/").status);
+	EXPECT_EQ(404, call(m, "//deep/x").status);
+	EXPECT_EQ(400, call(m, "/deep/../x").status);
+}
+
 TEST_F(Hosted, ALeavingServerGetsNoRequestAfterTheAcknowledgement)
 {
 	serve();
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -191,6 +191,26 @@
 	fp_config_end(c);
 }
 
+/* Guards against requests for "/b" that run at the service of a new route "/b/". */
+TEST(Record, APathWithoutTheLastSlashOfAPrefixIsNotBelowIt)
+{
+	std::string text = record_with("\"/a/\"", "\"/\"");
+	struct fp_config *c = nullptr;
+
+	ASSERT_EQ(FP_OK, platform_config(text.data(), text.size(), &c));
+	for (const char *path : { "/b", "/b?x=/b/", "/bb/", "/" })
+		EXPECT_STREQ(
+			"r-a",
+			fp_config_find_route(c, "h.example", "GET", path)->name)
+			<< path;
+	for (const char *path : { "/b/", "/b//", "/b/x" })
+		EXPECT_STREQ(
+			"r-b",
+			fp_config_find_route(c, "h.example", "GET", path)->name)
+			<< path;
+	fp_config_end(c);
+}
+
 TEST(Record, UnknownKindIsNotIdempotent)
 {
 	std::string text = record_with("\"safe\"", "\"keyed\"");
