Several requests of one id no longer end the node of their server

Callers saw: all requests at a node ended when it got two requests of one id at a time (SIGSEGV in 10 of 30 runs of Pipeline.LargeBodiesArriveWholeInBoundedMemory); with small requests, nested calls that were refused since their parent was not found.

Cause: executions were indexed by the caller's id in their own memory. A second one replaced the value and not the key's text, and the first one to end left the key behind, in freed memory.

Ruled out (by the review): size and load; with an id for each upload no run fails.

Now the index keeps all executions of an id in order of arrival, and the text in the table is always that of the first. Nested calls belong to the first one and pass to the next when it ends.

Evidence: RequestsOfOneIdAtATimeAreAllAnswered fails in 3 of 3 runs before and in none of 3 after; LargeBodiesArriveWholeInBoundedMemory is clean in 30 of 30 runs.

--- a/src/node/call.c
+++ b/src/node/call.c
@@ -679,3 +679,15 @@
 	while ((c = next_of_parent(t, call_id)))
 		call_client_left(t, c->x);
 }
+
+void call_parent_changed(struct fp_traffic *t,
+			 const uint8_t from[FP_CALL_ID_BYTES],
+			 const uint8_t to[FP_CALL_ID_BYTES])
+{
+	struct call *c;
+
+	for (c = t->open_calls; c; c = c->next)
+		if (c->msg.nested &&
+		    memcmp(c->parent_id, from, FP_CALL_ID_BYTES) == 0)
+			memcpy(c->parent_id, to, FP_CALL_ID_BYTES);
+}
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -5,7 +5,9 @@
  * the worker returns it with the nested calls that it makes; in dialects
  * without such a header the caller's request id is used instead.
  * Organisation, class, deadline and attempt budget of a nested call come from
- * the execution found by that id, never from what the worker sends.
+ * the execution found by that id, never from what the worker sends. A caller's
+ * id may be that of several executions at once: a nested call then belongs to
+ * the one that arrived first, and ends with the last of them.
  *
  * Admission decides which execution starts. Its decisions are queued while it
  * runs and applied after it has returned, since applying one may call
@@ -38,7 +40,19 @@
 
 struct execution *execution_find_request(struct fp_traffic *t, const char *id)
 {
-	return apr_hash_get(t->requests, id, APR_HASH_KEY_STRING);
+	return fp_id_index_find(t->requests, id);
+}
+
+/* Ends the nested calls of an execution that has ended. If another one has the
+ * same request id, they may be its calls, and pass to it. */
+static void end_nested_calls(struct fp_traffic *t,
+			     const uint8_t call_id[FP_CALL_ID_BYTES],
+			     const struct execution *same_id)
+{
+	if (same_id)
+		call_parent_changed(t, call_id, same_id->call_id);
+	else
+		call_parent_ended(t, call_id);
 }
 
 /* Frees an execution and ends its nested calls. */
@@ -46,19 +60,21 @@
 {
 	struct fp_traffic *t = e->t;
 	uint8_t id[FP_CALL_ID_BYTES];
+	struct execution *same_id = NULL;
 
 	memcpy(id, e->call_id, sizeof(id));
 	apr_hash_set(t->executions, e->call_id, sizeof(e->call_id), NULL);
 	apr_hash_set(t->by_admission_id, &e->admission_id,
 		     sizeof(e->admission_id), NULL);
-	if (e->request_id && execution_find_request(t, e->request_id) == e)
-		apr_hash_set(t->requests, e->request_id, APR_HASH_KEY_STRING,
-			     NULL);
+	if (e->by_request.id) {
+		fp_id_index_remove(t->requests, &e->by_request);
+		same_id = execution_find_request(t, e->by_request.id);
+	}
 	fp_msg_memory_end(&e->memory);
 	free(e->data);
 	free(e);
 	t->n_executions--;
-	call_parent_ended(t, id);
+	end_nested_calls(t, id, same_id);
 }
 
 /* Sets the load of this service itself: that of its admission. */
@@ -139,7 +155,8 @@
 	       "id=%s route=%s class=%s nested=%d outcome=%s reason=%s "
 	       "instance=%s serving=%d run_ms=%" PRId64 " left_ms=%" PRId64
 	       " running=%u limit=%u queued=%u delay_ms=%u",
-	       fp_log_sanitize(e->request_id ? e->request_id : root, word),
+	       fp_log_sanitize(e->by_request.id ? e->by_request.id : root,
+			       word),
 	       e->msg.route, fp_class_name(e->msg.cls), e->msg.nested,
 	       fp_outcome_name(outcome), fp_reason_name(why),
 	       t->worker.instance, t->worker.serving, run_us / FP_US_PER_MS,
@@ -317,7 +334,7 @@
 	}
 	if (t->dialect->request_id) {
 		o.echo_header = t->dialect->request_id;
-		o.echo_value = e->request_id;
+		o.echo_value = e->by_request.id;
 	}
 	backend_url(t, e->msg.uri, url, sizeof(url));
 	fp_counter_add(t->metrics.executions, 1);
@@ -419,7 +436,7 @@
 
 	t->executions = apr_hash_make(t->pool);
 	t->by_admission_id = apr_hash_make(t->pool);
-	t->requests = apr_hash_make(t->pool);
+	t->requests = fp_id_index_init(t->pool);
 	t->admission = fp_admission_init(&p, &sink);
 	if (!t->admission)
 		abort();
@@ -485,11 +502,12 @@
 	randombytes_buf(e->call_id, sizeof(e->call_id));
 	e->admission_id = ++t->last_admission_id;
 	if (t->dialect->request_id)
-		e->request_id = fp_msg_header_find(&e->msg.content,
-						   t->dialect->request_id);
-	if (e->request_id)
-		apr_hash_set(t->requests, e->request_id, APR_HASH_KEY_STRING,
-			     e);
+		e->by_request.id = fp_msg_header_find(&e->msg.content,
+						      t->dialect->request_id);
+	if (e->by_request.id) {
+		e->by_request.owner = e;
+		fp_id_index_add(t->requests, &e->by_request);
+	}
 	apr_hash_set(t->executions, e->call_id, sizeof(e->call_id), e);
 	apr_hash_set(t->by_admission_id, &e->admission_id,
 		     sizeof(e->admission_id), e);
--- a/src/node/execution_private.h
+++ b/src/node/execution_private.h
@@ -26,7 +26,8 @@
 	struct fp_msg_memory memory; /* of the decoded message */
 	struct fp_attempt_budget attempt_budget;
 	uint64_t admission_id; /* its id at admission */
-	const char *request_id; /* the caller's id of the request, or NULL */
+	/* by the caller's id of the request; its id is NULL if there is none */
+	struct fp_id_entry by_request;
 	bool running; /* admission started it; it holds a slot */
 	int64_t deadline_us;
 	int64_t sent_us; /* when it was sent to the backend server */
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -6,6 +6,7 @@
 #include <apr_pools.h>
 #include <apr_thread_proc.h>
 
+#include "node/id_index.h"
 #include "node/traffic.h"
 #include "protocol/dialect.h"
 #include "protocol/msg_call.h"
@@ -82,7 +83,7 @@
 	struct fp_balancer *balancer; /* selects the worker of an attempt */
 	apr_hash_t *calls; /* by correlation id of the attempt */
 	apr_hash_t *executions; /* by call id */
-	apr_hash_t *requests; /* executions by the caller's request id */
+	struct fp_id_index *requests; /* executions by the caller's id */
 	apr_hash_t *by_admission_id; /* executions, waiting and running */
 	struct fp_admission *admission;
 	/* admission decisions that are not applied yet, oldest first */
@@ -189,6 +190,11 @@
 void call_parent_ended(struct fp_traffic *t,
 		       const uint8_t call_id[FP_CALL_ID_BYTES]);
 
+/** Passes the nested calls of an execution that has ended to another one. */
+void call_parent_changed(struct fp_traffic *t,
+			 const uint8_t from[FP_CALL_ID_BYTES],
+			 const uint8_t to[FP_CALL_ID_BYTES]);
+
 /* --- limits.c, tokens.c, claim.c: call.h declares the rest --- */
 
 void limits_init(struct fp_traffic *t);
@@ -266,8 +272,8 @@
 struct execution *execution_find(struct fp_traffic *t,
 				 const uint8_t call_id[FP_CALL_ID_BYTES]);
 
-/** Finds an execution in progress by the caller's request id; NULL if there is
- *  none. */
+/** Finds the execution in progress that arrived first of those with that
+ *  caller's request id; NULL if there is none. */
 struct execution *execution_find_request(struct fp_traffic *t, const char *id);
 
 /** What a nested call inherits from the execution that makes it. */
--- a/test/e2e_hosted.h
+++ b/test/e2e_hosted.h
@@ -214,6 +214,14 @@
 		});
 	}
 
+	static bool has_request_id(const std::vector<std::string> &headers)
+	{
+		for (auto &h : headers)
+			if (h.rfind("Fulmarpass-Request-Id:", 0) == 0)
+				return true;
+		return false;
+	}
+
 	/* Sends a request to a machine's node: POST if the path begins with
 	 * /order, GET otherwise. */
 	Result call(Machine &m, const std::string &path,
@@ -230,8 +238,9 @@
 
 		extra_headers.push_back("Host: h.example");
 		extra_headers.push_back("Fulmarpass-Deadline-Ms: 3000");
-		extra_headers.push_back("Fulmarpass-Request-Id: req" +
-					std::to_string(++n));
+		if (!has_request_id(extra_headers))
+			extra_headers.push_back("Fulmarpass-Request-Id: req" +
+						std::to_string(++n));
 		if (!key.empty())
 			extra_headers.push_back("Fulmarpass-Key: " + key);
 		for (auto &h : extra_headers)
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -66,6 +66,46 @@
 	EXPECT_EQ(400, call(m, "/deep/../x").status);
 }
 
+/* Guards against a caller that ends a node by using one id for several requests
+ * at a time. Each of them is answered, and each of their nested calls finds a
+ * parent: no route is public here, so the others would be refused. */
+TEST_F(Hosted, RequestsOfOneIdAtATimeAreAllAnswered)
+{
+	std::vector<std::thread> callers;
+	std::atomic<int> answered{ 0 };
+	std::string text = config(1);
+	size_t at = text.find("\"public\":true");
+
+	ASSERT_NE(std::string::npos, at);
+	text.replace(at, strlen("\"public\":true"), "\"public\":false");
+	platform_store_write(store, "op/config", text.c_str());
+	add("front", 5, false, "h.example");
+	add("deep", 20);
+	start_announcing();
+	ASSERT_TRUE(wait([&] {
+		return call(*machines[0], "/front/x").status == 200 &&
+		       platform_server_nested_status(machines[0]->server) ==
+			       200;
+	}));
+	int nested = platform_server_run_count(machines[1]->server);
+	for (int i = 0; i < 6; i++)
+		callers.emplace_back([&, i] {
+			usleep(7000 * (useconds_t)i);
+			for (int turn = 0; turn < 30; turn++) {
+				std::string fill((size_t)(20 * turn), 'x');
+				Result r = call(*machines[1], "/front/x", "k1",
+						{ "Fulmarpass-Request-Id: same",
+						  "X-Fill: " + fill });
+
+				answered += r.status == 200;
+			}
+		});
+	for (auto &c : callers)
+		c.join();
+	EXPECT_EQ(180, answered);
+	EXPECT_EQ(nested + 180, platform_server_run_count(machines[1]->server));
+}
+
 TEST_F(Hosted, ALeavingServerGetsNoRequestAfterTheAcknowledgement)
 {
 	serve();
