Limit the memory of all answers that are being received

Callers saw (a report of another operator): a faulty server sends an answer without end, the node that called it runs out of memory, and the requests of other clients end with it. Here eight such answers at a time took a node to 338 MB.

Cause: an answer had a limit of its own, 64 MiB; nothing bounded their sum.

Now the sum has a limit, and when it is reached the largest answer is given up and its request ends at once as unknown: an endless one outgrows the sound ones. An answer for another node is given up where it exceeds what a link takes. A head has 16 KiB at most; beyond that the other node closed the link with all its calls.

--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -32,6 +32,9 @@
 /* Queue limit when overload control is off, the baseline of comparisons. */
 #define MAX_QUEUED_OFF 4096u
 
+/* Room in a frame for everything besides the body of an answer. */
+#define REPLY_EXTRA_BYTES (64u << 10)
+
 /** What admission decided about one execution. */
 struct admission_decision {
 	uint64_t id; /* admission id of the execution */
@@ -298,6 +301,15 @@
 	       drain_can_finish_execution(e->t, e->msg.route, e->deadline_us);
 }
 
+/* Largest body of an answer that can reach the caller's node. */
+static size_t max_answer_bytes(const struct execution *e)
+{
+	size_t limit = e->t->settings->max_body_bytes;
+	size_t frame = fp_peer_max_frame_bytes(e->t->peers) - REPLY_EXTRA_BYTES;
+
+	return e->link && frame < limit ? frame : limit;
+}
+
 static void send_to_backend(struct execution *e)
 {
 	struct fp_traffic *t = e->t;
@@ -310,8 +322,7 @@
 				 .headers = h,
 				 .body = e->msg.content.body,
 				 .body_bytes = e->msg.content.body_bytes,
-				 .max_answer_bytes =
-					 t->settings->max_body_bytes,
+				 .max_answer_bytes = max_answer_bytes(e),
 				 .at_most_once = e->msg.non_idempotent };
 
 	e->sent_us = fp_loop_now_us(t->loop);
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -317,6 +317,8 @@
 		execution_init(t);
 		st = fp_http_client_init(t->loop, MAX_IDLE_BACKEND, &t->client);
 	}
+	if (st == FP_OK)
+		fp_http_client_limit(t->client, s->max_held_bytes);
 	if (st == FP_OK)
 		st = open_http(t);
 	if (st == FP_OK)
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -142,6 +142,8 @@
 	  .expected = FP_HASH_EXPECTED },
 	UINT("limits", "max_body_bytes", max_body_bytes, "bytes", KIB, 64 * MIB,
 	     "1048576"),
+	UINT("limits", "max_held_bytes", max_held_bytes, "bytes", MIB,
+	     1024 * MIB, "67108864"),
 	UINT("limits", "max_header_bytes", max_header_bytes, "bytes", KIB,
 	     64 * KIB, "16384"),
 	UINT("limits", "max_connections", max_connections, "connections", 16,
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -65,6 +65,8 @@
 	/* [limits] */
 	uint32_t max_body_bytes;
 	uint32_t max_header_bytes;
+	uint32_t max_held_bytes; /**< of all answers that are being received
+				  * from the backend server */
 	uint32_t max_connections;
 	uint32_t max_claims; /**< claims stored by one node */
 	uint32_t claim_lifetime_s; /**< lifetime of a claim and its answer */
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -12,6 +12,10 @@
  * A body that ends with its connection cannot be distinguished from a truncated
  * one.
  *
+ * Answers are held whole until they are complete, so a server that never ends
+ * one costs memory. Each answer has a limit, and so has their sum: when it is
+ * reached, the largest answer is given up, as an endless one outgrows the others.
+ *
  * A server may write an answer twice, or late, on a connection that is in use
  * again. Such bytes are recognised by the echo header, which names the request
  * that an answer belongs to. On a connection that served other requests before,
@@ -32,9 +36,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/log.h"
+
 #define CONNECT_TIMEOUT_MS 500L
 #define MAX_IDLE_AGE_S	   20L
 #define MAX_ANSWER_HEADERS 48 /* an answer with more is not accepted */
+#define MAX_HEAD_BYTES	   16384 /* of an answer, interim ones included */
+#define MAX_NAME_BYTES	   255 /* of a header field */
+#define BODY_FIRST_BYTES   4096 /* first allocation for a body */
 #define FREE_HANDLES	   64 /* easy handles kept for reuse */
 
 enum head_state {
@@ -51,7 +60,7 @@
 	fp_http_done_fn done;
 	void *ctx;
 	size_t max_answer_bytes;
-	bool too_large;
+	bool given_up; /* the answer is too large, alone or with others */
 	bool once; /* at_most_once of the request */
 	bool unread_bytes; /* the connection had some; not sent there */
 	bool sent; /* sending on a connection has started */
@@ -62,6 +71,7 @@
 	uint8_t *body; /* of the answer */
 	size_t body_bytes;
 	size_t body_size; /* allocated */
+	size_t head_bytes;
 	struct fp_http_header headers[MAX_ANSWER_HEADERS]; /* strdup'd */
 	uint32_t n_headers;
 	struct fp_http_send **pprev; /* the pointer that points to this one */
@@ -89,6 +99,8 @@
 	CURL *free[FREE_HANDLES]; /* easy handles for reuse */
 	uint32_t n_free;
 	struct fp_http_send *active; /* list */
+	size_t held_bytes; /* allocated for the bodies of all answers */
+	size_t max_held_bytes;
 };
 
 /* --- one transfer --- */
@@ -120,6 +132,15 @@
 	c->free[c->n_free++] = easy;
 }
 
+static void free_body(struct fp_http_send *s)
+{
+	s->client->held_bytes -= s->body_size;
+	free(s->body);
+	s->body = NULL;
+	s->body_size = 0;
+	s->body_bytes = 0;
+}
+
 static void send_free(struct fp_http_send *s)
 {
 	struct fp_http_client *c = s->client;
@@ -133,29 +154,85 @@
 	clear_answer(s);
 	free(s->body_out);
 	free(s->echo_value);
-	free(s->body);
+	free_body(s);
 	free(s);
 }
 
+/* Drops what was received of an answer. Its request ends with FP_IO when the
+ * library has returned: transfers must not be removed in its callbacks. */
+static void give_up(struct fp_http_send *s, size_t needed_bytes)
+{
+	struct fp_http_client *c = s->client;
+
+	fp_log(FP_LOG_WARN, "answer_given_up",
+	       "bytes=%zu limit=%zu held=%zu held_limit=%zu", needed_bytes,
+	       s->max_answer_bytes, c->held_bytes, c->max_held_bytes);
+	s->given_up = true;
+	free_body(s);
+}
+
+static struct fp_http_send *largest_answer(const struct fp_http_client *c)
+{
+	struct fp_http_send *largest = NULL;
+	struct fp_http_send *s;
+
+	for (s = c->active; s; s = s->next)
+		if (!largest || s->body_size > largest->body_size)
+			largest = s;
+	return largest;
+}
+
+/* Makes room for a body that grows from s->body_size to size, at the cost of
+ * the largest one; false if that is this one. */
+static bool make_room(struct fp_http_send *s, size_t size)
+{
+	struct fp_http_client *c = s->client;
+	struct fp_http_send *largest;
+
+	while (c->held_bytes - s->body_size + size > c->max_held_bytes) {
+		largest = largest_answer(c);
+		if (size >= largest->body_size)
+			return false;
+		give_up(largest, largest->body_bytes);
+	}
+	return true;
+}
+
+/* Allocates a body for at least needed bytes; false if it may not grow. */
+static bool grow_body(struct fp_http_send *s, size_t needed)
+{
+	size_t size = s->body_size ? s->body_size : BODY_FIRST_BYTES;
+	uint8_t *body;
+
+	if (needed > s->max_answer_bytes)
+		return false;
+	while (size < needed)
+		size *= 2;
+	if (size > s->max_answer_bytes)
+		size = s->max_answer_bytes;
+	if (size <= s->body_size)
+		return true;
+	if (!make_room(s, size))
+		return false;
+	body = realloc(s->body, size);
+	if (!body)
+		return false;
+	s->client->held_bytes += size - s->body_size;
+	s->body = body;
+	s->body_size = size;
+	return true;
+}
+
 static size_t on_body(char *data, size_t size, size_t n, void *ctx)
 {
 	struct fp_http_send *s = ctx;
 	size_t needed = s->body_bytes + size * n;
-	size_t room = s->body_size ? s->body_size : 4096;
-	uint8_t *body;
 
-	if (needed > s->max_answer_bytes) {
-		s->too_large = true;
+	if (s->given_up)
+		return 0;
+	if (!grow_body(s, needed)) {
+		give_up(s, needed);
 		return 0;
-	}
-	while (room < needed)
-		room *= 2;
-	if (room != s->body_size) {
-		body = realloc(s->body, room);
-		if (!body)
-			return 0;
-		s->body = body;
-		s->body_size = room;
 	}
 	memcpy(s->body + s->body_bytes, data, size * n);
 	s->body_bytes = needed;
@@ -197,7 +274,8 @@
 {
 	size_t name_bytes = strcspn(line, ": \t\r\n");
 
-	if (!name_bytes || line[name_bytes] != ':')
+	if (!name_bytes || name_bytes > MAX_NAME_BYTES ||
+	    line[name_bytes] != ':')
 		return false;
 	line[name_bytes] = '\0';
 	*value = line + name_bytes + 1;
@@ -274,6 +352,9 @@
 
 	if (s->head_state == AFTER_HEAD)
 		return len;
+	s->head_bytes += len;
+	if (s->head_bytes > MAX_HEAD_BYTES)
+		return 0;
 	if (s->head_state == BEFORE_HEAD)
 		accepted = begin_head(s, data, len);
 	else if (data[0] == '\r' || data[0] == '\n')
@@ -392,7 +473,8 @@
 
 static bool is_complete(struct fp_http_send *s, long http_status)
 {
-	return s->head_state == AFTER_HEAD && body_is_delimited(s, http_status);
+	return s->head_state == AFTER_HEAD && !s->given_up &&
+	       body_is_delimited(s, http_status);
 }
 
 static enum fp_status status_of(struct fp_http_send *s, CURLcode rc,
@@ -448,6 +530,22 @@
 	return curl_multi_add_handle(s->client->multi, s->easy) == CURLM_OK;
 }
 
+/* Ends the requests whose answers were given up while the library handled
+ * others. */
+static void finish_given_up(struct fp_http_client *c)
+{
+	struct fp_http_send *s = c->active;
+
+	while (s) {
+		if (!s->given_up) {
+			s = s->next;
+			continue;
+		}
+		finish(s, CURLE_WRITE_ERROR);
+		s = c->active; /* the callback may have changed the list */
+	}
+}
+
 static void collect(struct fp_http_client *c)
 {
 	struct fp_http_send *s;
@@ -461,6 +559,7 @@
 		if (!send_anew(s))
 			finish(s, m->data.result);
 	}
+	finish_given_up(c);
 }
 
 /* --- the loop --- */
@@ -557,6 +656,7 @@
 	if (!c)
 		return fp_fail(FP_NOMEM, "out of memory");
 	c->loop = l;
+	c->max_held_bytes = SIZE_MAX;
 	c->multi = curl_multi_init();
 	if (!c->multi) {
 		free(c);
@@ -572,6 +672,16 @@
 	return FP_OK;
 }
 
+void fp_http_client_limit(struct fp_http_client *c, size_t max_held_bytes)
+{
+	c->max_held_bytes = max_held_bytes;
+}
+
+size_t fp_http_client_held_bytes(const struct fp_http_client *c)
+{
+	return c->held_bytes;
+}
+
 static enum fp_status set_headers(struct fp_http_send *s,
 				  const struct fp_http_out *o)
 {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -45,7 +45,7 @@
 /** Result of a request. */
 struct fp_http_result {
 	/**
-	 * FP_OK: a complete answer, with at most 48 header fields. FP_UNAVAILABLE: no connection, so no byte
+	 * FP_OK: a complete answer; its head has at most 48 fields and 16 KiB. FP_UNAVAILABLE: no connection, so no byte
 	 * of the request was sent. FP_TIMEOUT, FP_IO: the server may have run
 	 * the request.
 	 */
@@ -71,6 +71,15 @@
 				   uint32_t max_idle_connections,
 				   struct fp_http_client **out);
 
+/**
+ * Limits the memory for the bodies of all answers that are being received; no
+ * limit at first. When it is reached, the request with the largest of them ends
+ * with FP_IO.
+ */
+void fp_http_client_limit(struct fp_http_client *c, size_t max_held_bytes);
+/** Returns the memory that these bodies take at present. */
+size_t fp_http_client_held_bytes(const struct fp_http_client *c);
+
 /**
  * Starts a request.
  *
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -287,12 +287,18 @@
 	fp_counter_add(l->net->frames_out, 1);
 }
 
+size_t fp_peer_max_frame_bytes(const struct fp_peer_net *n)
+{
+	return n->max_frame_bytes < MAX_QUEUED_BYTES ? n->max_frame_bytes :
+						       MAX_QUEUED_BYTES;
+}
+
 enum fp_status fp_peer_send(struct fp_peer_link *l, const void *data,
 			    size_t bytes)
 {
 	if (l->state == CLOSED)
 		return fp_fail(FP_UNAVAILABLE, "the link is closed");
-	if (bytes > l->net->max_frame_bytes || bytes > MAX_QUEUED_BYTES)
+	if (bytes > fp_peer_max_frame_bytes(l->net))
 		return fp_fail(FP_INVALID, "frame of %zu bytes is too large",
 			       bytes);
 	if (buffer_used(&l->out) + buffer_used(&l->queued) + bytes >
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -94,6 +94,9 @@
 enum fp_status fp_peer_send(struct fp_peer_link *link, const void *data,
 			    size_t bytes);
 
+/** Returns the largest frame that fp_peer_send() accepts. */
+size_t fp_peer_max_frame_bytes(const struct fp_peer_net *n);
+
 /** Returns the identity of the other end; its id is 0 until the link is up. */
 const struct fp_peer_identity *fp_peer_identity(const struct fp_peer_link *l);
 /** Returns whether the link is established. */
--- a/test/e2e_hosted.h
+++ b/test/e2e_hosted.h
@@ -151,6 +151,7 @@
 		o.run_ms = run_ms;
 		o.close_without_answer = close_without_answer;
 		o.refusal_load = refusal_load;
+		o.endless_path = "/endless";
 		if (nested_host) {
 			texts.push_back(m.outbound + "/inner/x");
 			o.nested_url = texts.back().c_str();
--- a/test/standin/lib_platform.c
+++ b/test/standin/lib_platform.c
@@ -12,10 +12,11 @@
 #include "lib_http.h"
 #include "lib_serve.h"
 
-#define MAX_ITEMS	   256
-#define KEY_BYTES	   200
-#define NO_ANSWER_DELAY_MS 5000 /* then the connection is closed */
-#define WATCH_POLL_MS	   10 /* interval of checks for a change */
+#define MAX_ITEMS	    256
+#define KEY_BYTES	    200
+#define NO_ANSWER_DELAY_MS  5000 /* then the connection is closed */
+#define ENDLESS_BLOCK_BYTES 65536
+#define WATCH_POLL_MS	    10 /* interval of checks for a change */
 
 /* An item; a removed one is kept with its revision and value NULL. */
 struct item {
@@ -510,6 +511,29 @@
 	return rc;
 }
 
+static ssize_t fill_body(void *arg, uint64_t at, char *out, size_t max)
+{
+	(void)arg;
+	(void)at;
+	memset(out, 'x', max);
+	return (ssize_t)max;
+}
+
+/* Sends a body that ends when the caller closes the connection. */
+static enum MHD_Result send_endless(struct serve_request *r)
+{
+	struct MHD_Response *res;
+	enum MHD_Result rc;
+
+	res = MHD_create_response_from_callback(
+		MHD_SIZE_UNKNOWN, ENDLESS_BLOCK_BYTES, fill_body, NULL, NULL);
+	MHD_add_response_header(res, "Fulmarpass-Request-Id",
+				serve_header(r, "Fulmarpass-Request-Id"));
+	rc = MHD_queue_response(r->conn, 200, res);
+	MHD_destroy_response(res);
+	return rc;
+}
+
 static enum MHD_Result on_request(struct serve_request *r, void *arg)
 {
 	struct platform_server *s = arg;
@@ -535,6 +559,8 @@
 	usleep((useconds_t)s->o.run_ms * 1000);
 	if (s->o.close_without_answer)
 		return MHD_NO;
+	if (s->o.endless_path && strstr(r->path, s->o.endless_path))
+		return send_endless(r);
 	res = MHD_create_response_from_buffer(4, (void *)(uintptr_t) "done",
 					      MHD_RESPMEM_PERSISTENT);
 	MHD_add_response_header(res, "Fulmarpass-Response-Signature", s->o.id);
--- a/test/standin/lib_platform.h
+++ b/test/standin/lib_platform.h
@@ -70,6 +70,9 @@
 	int64_t born_ms; /**< start time that announcements carry */
 	int run_ms; /**< time to run a request */
 	bool close_without_answer; /**< instead of answering */
+	/** Requests whose path contains this text get a body without end, in
+	 *  chunks; NULL: none. */
+	const char *endless_path;
 	/** Load that it reports with a refusal of each request; NULL: it
 	 *  refuses none. */
 	const char *refusal_load;
--- a/test/test_e2e_pipeline.cc
+++ b/test/test_e2e_pipeline.cc
@@ -230,6 +230,52 @@
 		EXPECT_LT(peak_kib(*m), 160 * 1000) << m->id;
 }
 
+/*
+ * Guards against a faulty server that sends bodies without end until its caller
+ * closes: eight at a time, through two nodes and through the node beside the
+ * server alone. A machine of the platform has 160 MB; the nodes stay below that,
+ * and sound requests beside are answered.
+ */
+TEST_F(Pipeline, BodiesWithoutEndDoNotEndANode)
+{
+	std::vector<std::thread> callers;
+	std::atomic<bool> stop{ false };
+	std::atomic<int> endless{ 0 }, ended{ 0 }, sound{ 0 }, failed{ 0 };
+
+	serve();
+	for (int i = 0; i < 16; i++)
+		callers.emplace_back([&, i] {
+			while (!stop) {
+				/* A route without a key, so without a rate. */
+				long status = call(*machines[i % 2],
+						   "/inner/endless", "")
+						      .status;
+
+				endless++;
+				ended += status == 502 || status == 504;
+			}
+		});
+	callers.emplace_back([&] {
+		while (!stop) {
+			bool ok = call(*machines[0], "/front/x").status == 200;
+
+			sound += ok;
+			failed += !ok;
+			usleep(20000);
+		}
+	});
+	sleep(5);
+	stop = true;
+	for (auto &c : callers)
+		c.join();
+	EXPECT_GT(ended, 16);
+	EXPECT_GT(sound, 20);
+	EXPECT_EQ(0, failed);
+	EXPECT_EQ(200, call(*machines[0], "/deep/x").status);
+	for (auto &m : machines)
+		EXPECT_LT(peak_kib(*m), 160 * 1000) << m->id;
+}
+
 /* The platform's record allows bodies of 64 MiB. */
 TEST_F(Pipeline, ABodyLargerThanALinksQueueArrives)
 {
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -6,9 +6,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstring>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -153,12 +155,12 @@
 		while (fp_mono_us(fp_system_clock()) < end_us)
 			fp_loop_run_once(loop, 1000);
 	}
-	/* Sends a request and waits for its result. */
-	Result call(const ScriptedServer &server, const char *id,
-		    size_t max_answer_bytes = 1 << 20)
+	/* Sends a request; its result is complete when its status is no longer
+	 * FP_AGAIN. */
+	void start(const ScriptedServer &server, const char *id,
+		   size_t max_answer_bytes, Result *r)
 	{
 		struct fp_http_out o = {};
-		Result r;
 
 		o.method = "GET";
 		o.url = server.url.c_str();
@@ -167,7 +169,15 @@
 		o.at_most_once = true;
 		o.echo_header = "Request-Id";
 		o.echo_value = id;
-		EXPECT_EQ(FP_OK, fp_http_send(client, &o, on_done, &r, NULL));
+		EXPECT_EQ(FP_OK, fp_http_send(client, &o, on_done, r, NULL));
+	}
+	/* Sends a request and waits for its result. */
+	Result call(const ScriptedServer &server, const char *id,
+		    size_t max_answer_bytes = 1 << 20)
+	{
+		Result r;
+
+		start(server, id, max_answer_bytes, &r);
 		while (r.status == FP_AGAIN)
 			fp_loop_run_once(loop, 1000);
 		return r;
@@ -387,4 +397,84 @@
 	}
 }
 
+/* Guards against a process that runs out of memory since several servers send
+ * answers without end: their sum is limited, and sound answers beside them
+ * arrive whole. */
+TEST_F(HttpClient, ManyAnswersWithoutEndShareOneLimit)
+{
+	const size_t limit = 4 << 20;
+	const std::string heads[] = {
+		"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n"
+		"Request-Id: a\r\n\r\n",
+	};
+	std::vector<std::unique_ptr<ScriptedServer>> servers;
+	std::vector<Result> results(8);
+	std::string sound(100000, 's');
+	ScriptedServer good({ { answer_to("a", sound) },
+			      { answer_to("a", sound) },
+			      { answer_to("a", sound) } });
+	size_t most = 0;
+	bool waiting = true;
+	int n_sound = 0;
+
+	fp_http_client_limit(client, limit);
+	for (size_t i = 0; i < results.size(); i++) {
+		ScriptedServer::Step step = {
+			heads[i % 2] + std::string(200000, 'x'), false, true
+		};
+
+		servers.push_back(std::make_unique<ScriptedServer>(
+			std::vector<ScriptedServer::Step>{ step }));
+		start(*servers[i], "a", 64 << 20, &results[i]);
+	}
+	for (int i = 0; i < 3; i++) {
+		Result r;
+
+		start(good, "a", 64 << 20, &r);
+		while (r.status == FP_AGAIN) {
+			fp_loop_run_once(loop, 1000);
+			most = std::max(most,
+					fp_http_client_held_bytes(client));
+		}
+		EXPECT_EQ(FP_OK, r.status);
+		n_sound += r.body == sound;
+	}
+	while (waiting) {
+		fp_loop_run_once(loop, 1000);
+		most = std::max(most, fp_http_client_held_bytes(client));
+		waiting = false;
+		for (auto &r : results)
+			waiting |= r.status == FP_AGAIN;
+	}
+	for (auto &r : results)
+		EXPECT_TRUE(r.status == FP_IO || r.status == FP_TIMEOUT);
+	EXPECT_EQ(3, n_sound);
+	EXPECT_GT(most, limit / 2);
+	EXPECT_LE(most, limit);
+	EXPECT_EQ(0u, fp_http_client_held_bytes(client));
+}
+
+/* A head that nodes could not pass on to each other would end their link. */
+TEST_F(HttpClient, AHeadThatIsTooLargeIsNotAccepted)
+{
+	const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+	const std::string end = "Request-Id: a\r\n\r\n";
+	const struct {
+		std::string field;
+		enum fp_status status;
+	} cases[] = {
+		{ std::string(255, 'n') + ": v\r\n", FP_OK },
+		{ std::string(256, 'n') + ": v\r\n", FP_IO },
+		{ "X: " + std::string(15000, 'v') + "\r\n", FP_OK },
+		{ "X: " + std::string(16500, 'v') + "\r\n", FP_IO },
+	};
+
+	for (auto &c : cases) {
+		ScriptedServer server({ { start + c.field + end } });
+
+		EXPECT_EQ(c.status, call(server, "a").status) << c.field.size();
+	}
+}
+
 } // namespace
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -63,6 +63,7 @@
 	EXPECT_EQ(0u, s.n_seeds);
 	EXPECT_FALSE(s.has_bootstrap_operator);
 	EXPECT_EQ(1048576u, s.max_body_bytes);
+	EXPECT_EQ(67108864u, s.max_held_bytes);
 	EXPECT_EQ(600u, s.claim_lifetime_s);
 	EXPECT_FALSE(s.overload_off);
 	EXPECT_EQ(FP_LOG_INFO, s.log_level);
