The end of a worker outlives the process of its node

Cause: which announcements are old was known to the ended process only. Ruled out: the others keep an old record (it says serving=0 before the kill).

Now the record of a node whose worker accepts no new calls has the worker's last announcement, and the next process reads it before it has members.

--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -50,6 +50,9 @@
 	/** Interval in which this node may use its rate shares; called again
 	 *  at each renewal of the lease and when this node leaves. */
 	void (*share_validity)(void *ctx, const struct fp_share_validity *r);
+	/** The record of an earlier process of this node has the end of its
+	 *  worker; called before the first members. */
+	void (*worker_ended)(void *ctx, const struct fp_worker_end *e);
 	/** Sends a message to a member; delivery is not guaranteed. */
 	void (*send)(void *ctx, const char *addr,
 		     const struct fp_msg_shared *m);
@@ -72,6 +75,10 @@
 /** Updates the worker in this node's record; warm_ms as in struct fp_member. */
 void fp_directory_set_worker(struct fp_directory *d, uint32_t slots,
 			     int64_t warm_ms, bool serving);
+/** Sets the last announcement of a worker that accepts no new calls; e->instance
+ *  is empty if it serves. It is kept in the record for a later process. */
+void fp_directory_set_worker_end(struct fp_directory *d,
+				 const struct fp_worker_end *e);
 
 /** Handles a message from the member at addr: FP_MSG_CONFIRM_REQUEST,
  *  FP_MSG_CONFIRM_RESPONSE, FP_MSG_MEMBER_CHANGE or FP_MSG_MEMBER_CHANGES_END;
--- a/src/node/handover.c
+++ b/src/node/handover.c
@@ -345,6 +345,26 @@
 	post(t, apply_share_validity, copy);
 }
 
+static void apply_worker_end(void *ctx)
+{
+	struct posted *h = ctx;
+
+	worker_inherit(h->t, h->value);
+	free(h->value);
+	free(h);
+}
+
+void fp_traffic_inherit_worker(struct fp_traffic *t,
+			       const struct fp_worker_end *e)
+{
+	struct fp_worker_end *copy = malloc(sizeof(*copy));
+
+	if (!copy)
+		abort();
+	*copy = *e;
+	post(t, apply_worker_end, copy);
+}
+
 void fp_traffic_set_secrets(struct fp_traffic *t, const struct fp_settings *s)
 {
 	struct fp_settings *copy = malloc(sizeof(*copy));
--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -92,6 +92,13 @@
 	fp_traffic_set_share_validity(h->traffic, v);
 }
 
+static void on_worker_ended(void *ctx, const struct fp_worker_end *e)
+{
+	struct fp_hosted *h = ctx;
+
+	fp_traffic_inherit_worker(h->traffic, e);
+}
+
 static void on_send(void *ctx, const char *addr, const struct fp_msg_shared *m)
 {
 	struct fp_hosted *h = ctx;
@@ -198,6 +205,7 @@
 	uint32_t slots;
 	int64_t warm_ms;
 	bool serving;
+	struct fp_worker_end end;
 };
 
 static void apply_worker(void *ctx)
@@ -206,6 +214,7 @@
 
 	fp_directory_set_worker(w->h->directory, w->slots, w->warm_ms,
 				w->serving);
+	fp_directory_set_worker_end(w->h->directory, &w->end);
 	free(w);
 }
 
@@ -215,8 +224,17 @@
 
 	if (!copy)
 		abort();
-	*copy = (struct posted_worker){ h, w->slots, w->warm_until_ms,
-					w->serving };
+	*copy = (struct posted_worker){ .h = h,
+					.slots = w->slots,
+					.warm_ms = w->warm_until_ms,
+					.serving = w->serving };
+	if (!w->serving) {
+		memcpy(copy->end.instance, w->instance,
+		       sizeof(copy->end.instance));
+		copy->end.started_ms = w->started_ms;
+		copy->end.sequence = w->sequence;
+		copy->end.deregistered = w->deregistered;
+	}
 	fp_loop_post(h->loop, apply_worker, copy);
 }
 
@@ -349,6 +367,7 @@
 					.secret = on_secret,
 					.config_confirmed = on_config_confirmed,
 					.share_validity = on_share_validity,
+					.worker_ended = on_worker_ended,
 					.send = on_send,
 					.ctx = h };
 	struct fp_directory_config cfg = { .clock = clock,
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -48,6 +48,7 @@
 	uint64_t sequence; /**< of the last announcement; 0: not announced */
 	bool serving; /**< announced, not leaving, and its announcements have
 			   not stopped */
+	bool deregistered; /**< this start does not register again */
 };
 
 /** Callbacks from traffic to control, called on the traffic thread. */
@@ -123,6 +124,10 @@
 /** Sets the interval in which this node may use its rate shares. Any thread. */
 void fp_traffic_set_share_validity(struct fp_traffic *t,
 				   const struct fp_share_validity *v);
+/** Passes on what an earlier process of this node knew of a worker that had
+ *  left; copies e. Any thread. */
+void fp_traffic_inherit_worker(struct fp_traffic *t,
+			       const struct fp_worker_end *e);
 /** Replaces the settings after a reload of their [bounds] section; copies s.
  *  Any thread. */
 void fp_traffic_set_settings(struct fp_traffic *t, const struct fp_settings *s);
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -113,7 +113,6 @@
 	struct fp_slo *slo; /* service levels of root calls */
 	struct fp_recovery recovery; /* overload episodes of all root calls */
 	bool worker_leaving; /* it announced that it is leaving */
-	bool worker_deregistered; /* it deregistered */
 	bool has_secret; /* links to other nodes can be established */
 	bool isolated; /* API keys cannot be trusted */
 	/* the configuration was confirmed as the newest at this time, monotonic
@@ -306,6 +305,9 @@
  *  is not an announcement. */
 enum fp_status worker_announce(struct fp_traffic *t, struct fp_http_exchange *x,
 			       const struct fp_http_request *r);
+/** Takes over what an earlier process of this node knew of a worker that had
+ *  left, unless a later start of it was announced since. */
+void worker_inherit(struct fp_traffic *t, const struct fp_worker_end *e);
 /** Records that the worker aborted an execution of that root call, or was not
  *  reachable for it. */
 void worker_note_aborted(struct fp_traffic *t, uint64_t fingerprint);
--- a/src/node/worker.c
+++ b/src/node/worker.c
@@ -24,6 +24,7 @@
 	return a->port == b->port && a->slots == b->slots &&
 	       a->serving == b->serving && a->started_ms == b->started_ms &&
 	       a->warm_until_ms == b->warm_until_ms &&
+	       a->deregistered == b->deregistered &&
 	       strcmp(a->instance, b->instance) == 0;
 }
 
@@ -106,7 +107,7 @@
 		return a->deregister;
 	if (a->deregister)
 		return false;
-	return t->worker_deregistered ||
+	return w->deregistered ||
 	       (a->has_sequence && a->sequence <= w->sequence);
 }
 
@@ -137,6 +138,8 @@
 	if (a->deregister) {
 		w = t->worker;
 		w.serving = false;
+		memcpy(w.instance, a->instance, sizeof(w.instance));
+		w.started_ms = a->started_ms ? a->started_ms : w.started_ms;
 	} else if (crashed(t, a)) {
 		report_crash(t, t->worker.instance);
 	}
@@ -148,7 +151,28 @@
 		w.warm_until_ms = (fp_wall_us(t->clock) + a->slow_start_us) /
 				  FP_US_PER_MS;
 	t->worker_leaving = a->deregister || !a->serving;
-	t->worker_deregistered = a->deregister;
+	w.deregistered = a->deregister;
+	set_worker(t, &w);
+}
+
+void worker_inherit(struct fp_traffic *t, const struct fp_worker_end *e)
+{
+	struct fp_worker w = t->worker;
+	bool known = w.instance[0] != '\0';
+	bool same = strcmp(w.instance, e->instance) == 0 &&
+		    w.started_ms == e->started_ms;
+
+	if (known && !same && w.started_ms >= e->started_ms)
+		return;
+	if (known && same && !e->deregistered && w.sequence > e->sequence)
+		return;
+	memcpy(w.instance, e->instance, sizeof(w.instance));
+	w.started_ms = e->started_ms;
+	if (e->sequence > w.sequence || !same)
+		w.sequence = e->sequence;
+	w.serving = false;
+	w.deregistered = e->deregistered;
+	t->worker_leaving = true;
 	set_worker(t, &w);
 }
 
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -99,6 +99,7 @@
 	CURL *free[FREE_HANDLES]; /* easy handles for reuse */
 	uint32_t n_free;
 	struct fp_http_send *active; /* list */
+	struct fp_http_send *given_up; /* list; to be ended */
 	size_t held_bytes; /* allocated for the bodies of all answers */
 	size_t max_held_bytes;
 };
@@ -132,6 +133,26 @@
 	c->free[c->n_free++] = easy;
 }
 
+static void send_link(struct fp_http_send *s, struct fp_http_send **list)
+{
+	s->next = *list;
+	if (s->next)
+		s->next->pprev = &s->next;
+	s->pprev = list;
+	*list = s;
+}
+
+/* Removes a request from its list, if it is in one. */
+static void send_unlink(struct fp_http_send *s)
+{
+	if (!s->pprev)
+		return;
+	*s->pprev = s->next;
+	if (s->next)
+		s->next->pprev = s->pprev;
+	s->pprev = NULL;
+}
+
 static void free_body(struct fp_http_send *s)
 {
 	s->client->held_bytes -= s->body_size;
@@ -145,9 +166,7 @@
 {
 	struct fp_http_client *c = s->client;
 
-	*s->pprev = s->next;
-	if (s->next)
-		s->next->pprev = s->pprev;
+	send_unlink(s);
 	curl_multi_remove_handle(c->multi, s->easy);
 	curl_slist_free_all(s->headers_out);
 	easy_put(c, s->easy);
@@ -169,6 +188,8 @@
 	       s->max_answer_bytes, c->held_bytes, c->max_held_bytes);
 	s->given_up = true;
 	free_body(s);
+	send_unlink(s);
+	send_link(s, &c->given_up);
 }
 
 static struct fp_http_send *largest_answer(const struct fp_http_client *c)
@@ -534,15 +555,14 @@
  * others. */
 static void finish_given_up(struct fp_http_client *c)
 {
-	struct fp_http_send *s = c->active;
+	struct fp_http_send *s;
 
-	while (s) {
-		if (!s->given_up) {
-			s = s->next;
-			continue;
-		}
+	while ((s = c->given_up)) {
+		c->given_up = s->next;
+		if (s->next)
+			s->next->pprev = &c->given_up;
+		s->pprev = NULL;
 		finish(s, CURLE_WRITE_ERROR);
-		s = c->active; /* the callback may have changed the list */
 	}
 }
 
@@ -795,11 +815,7 @@
 		free(s);
 		return fp_fail(FP_NOMEM, "out of memory");
 	}
-	s->next = c->active;
-	if (c->active)
-		c->active->pprev = &s->next;
-	s->pprev = &c->active;
-	c->active = s;
+	send_link(s, &c->active);
 	set_options(s, o);
 	st = set_headers(s, o);
 	if (st == FP_OK)
@@ -819,17 +835,23 @@
 	send_free(s);
 }
 
-void fp_http_client_end(struct fp_http_client *c)
+static void free_list(struct fp_http_send *first)
 {
 	struct fp_http_send *s;
 	struct fp_http_send *next;
 
-	if (!c)
-		return;
-	for (s = c->active; s; s = next) {
+	for (s = first; s; s = next) {
 		next = s->next;
 		send_free(s);
 	}
+}
+
+void fp_http_client_end(struct fp_http_client *c)
+{
+	if (!c)
+		return;
+	free_list(c->active);
+	free_list(c->given_up);
 	curl_multi_cleanup(c->multi);
 	while (c->n_free)
 		curl_easy_cleanup(c->free[--c->n_free]);
--- a/test/directory_sim.h
+++ b/test/directory_sim.h
@@ -441,6 +441,11 @@
 			static_cast<Directory *>(ctx)->confirmed_us =
 				requested_us;
 		};
+		callbacks.worker_ended = [](void *ctx,
+					    const struct fp_worker_end *e) {
+			static_cast<Directory *>(ctx)->worker_ends.push_back(
+				*e);
+		};
 		callbacks.send = [](void *ctx, const char *addr,
 				    const struct fp_msg_shared *m) {
 			static_cast<Directory *>(ctx)->sent.push_back(
@@ -529,6 +534,7 @@
 	std::vector<uint64_t> revisions;
 	std::map<std::string, struct fp_member> members;
 	std::vector<std::string> secrets;
+	std::vector<struct fp_worker_end> worker_ends;
 	struct fp_share_validity validity = {};
 	int64_t confirmed_us = 0; /* request time of the last confirmation */
 	std::vector<std::pair<std::string, struct fp_msg_shared>> sent;
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -233,6 +233,7 @@
 	run_ms(2000);
 	EXPECT_NE(std::string::npos,
 		  store.items["fulmar/nodes/n1"].value.find("\"id\":1,"));
+	run_ms(1500); /* until the next renewal */
 	EXPECT_GT(validity.until_us, clock.now_us + 6000000);
 }
 
@@ -245,6 +246,35 @@
 	EXPECT_EQ(1, store.calls["put"] - 1 /* secret */);
 }
 
+/* Guards against a worker that left and is used again after a restart of its
+ * node: the next process learns of it before it has any members. */
+TEST_F(Directory, TheEndOfAWorkerOutlivesTheProcess)
+{
+	struct fp_worker_end e = { "i-7", 1788008443000, 12, true };
+
+	start_with_n2(1500);
+	EXPECT_TRUE(worker_ends.empty());
+	fp_directory_set_worker(d, 8, 0, false);
+	fp_directory_set_worker_end(d, &e);
+	run_ms(100);
+	fp_directory_close(d);
+	run_ms(100);
+	fp_directory_end(d);
+	members.clear();
+	cfg.self.id = 77;
+	for (int ms = 0; members.empty() && ms < 1000; ms++) {
+		if (!ms)
+			d = fp_directory_init(loop, &cfg, &directory_ops);
+		EXPECT_LE(worker_ends.size(), 1u);
+		run_ms(1);
+	}
+	ASSERT_EQ(1u, worker_ends.size());
+	EXPECT_STREQ("i-7", worker_ends[0].instance);
+	EXPECT_EQ(1788008443000, worker_ends[0].started_ms);
+	EXPECT_EQ(12u, worker_ends[0].sequence);
+	EXPECT_TRUE(worker_ends[0].deregistered);
+}
+
 /* The requirement is two seconds from the store's return. */
 TEST_F(Directory, AnExpiredRecordIsBackWithinTwoSeconds)
 {
--- a/test/test_directory_fleet.cc
+++ b/test/test_directory_fleet.cc
@@ -179,6 +179,7 @@
 					const struct fp_share_validity *v) {
 			static_cast<Node *>(ctx)->validity = *v;
 		};
+		ops.worker_ended = [](void *, const struct fp_worker_end *) {};
 		ops.send = [](void *ctx, const char *addr,
 			      const struct fp_msg_shared *m) {
 			auto *t = static_cast<Node *>(ctx);
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -322,6 +322,67 @@
 		[&] { return call(*machines[0], "/deep/x").status == 200; }));
 }
 
+/*
+ * Guards against a server that is used again although it left: its node is
+ * killed and started after it acknowledged the leaving, and a heartbeat that was
+ * sent before arrives late. The server still answers.
+ */
+TEST_F(Hosted, AServerThatLeftIsNotUsedAfterARestartOfItsNode)
+{
+	serve();
+	Machine &m = *machines[1];
+
+	announce_stopped[m.id] = true;
+	usleep(400000);
+	ASSERT_TRUE(platform_server_deregister(m.server));
+	usleep(200000);
+	fleet_process_kill(m.node);
+	ASSERT_TRUE(fleet_process_start(f, m.node));
+	ASSERT_TRUE(wait([&] { return ready(m) == 200; }));
+	int runs = platform_server_run_count(m.server);
+	for (int i = 0; i < 20; i++) {
+		ASSERT_TRUE(platform_server_announce(m.server, "ready"));
+		EXPECT_EQ(503, call(*machines[0], "/deep/x").status);
+		EXPECT_EQ(503, call(m, "/deep/x").status);
+		usleep(100000);
+	}
+	EXPECT_EQ(runs, platform_server_run_count(m.server));
+}
+
+/* Guards against a withdrawn key in use again: a node is killed, the key is
+ * withdrawn, and the node starts again, also while the store answers late. */
+TEST_F(Hosted, AWithdrawnKeyIsRefusedAfterARestart)
+{
+	serve();
+	Machine &m = *machines[0];
+	int version = 1;
+
+	for (int round = 0; round < 3; round++) {
+		std::string key = "k" + std::to_string(round + 1);
+		std::string next = "k" + std::to_string(round + 2);
+
+		ASSERT_TRUE(wait([&] {
+			return call(m, "/front/x", key).status == 200;
+		}));
+		fleet_process_kill(m.node);
+		write_config(++version, "\"" + next + "\"");
+		if (round == 2)
+			platform_endpoint_set_fault(m.store_endpoint,
+						    PLATFORM_UNAVAILABLE);
+		ASSERT_TRUE(fleet_process_start(f, m.node));
+		for (int i = 0; i < 100; i++) {
+			EXPECT_NE(200, call(m, "/front/x", key).status);
+			usleep(10000);
+		}
+		platform_endpoint_set_fault(m.store_endpoint,
+					    PLATFORM_NO_FAULT);
+		ASSERT_TRUE(wait([&] {
+			return call(m, "/front/x", next).status == 200;
+		}));
+		EXPECT_EQ(401, call(m, "/front/x", key).status);
+	}
+}
+
 /* The users require expired member records to be written again within two
  * seconds after the store recovers. */
 TEST_F(Hosted, ExpiredRecordsAreRestoredWithinTwoSecondsOfTheStoreRecovery)
--- a/test/test_e2e_shutdown.cc
+++ b/test/test_e2e_shutdown.cc
@@ -110,6 +110,27 @@
 	EXPECT_GT(count(*machines[0], "reason=stopping"), 0);
 }
 
+/* A request behind another one on a stopping node's connection is not begun: the
+ * answer before it closes the connection. */
+TEST_F(Hosted, AStoppingNodeBeginsNoRequestBehindAnother)
+{
+	serve(false, 300);
+	KeptConnection conn(machines[0]->ip, 0);
+	ASSERT_TRUE(conn.send_order(0));
+	ASSERT_EQ(200, conn.read_status());
+	int runs = platform_server_run_count(machines[1]->server);
+
+	fleet_process_signal(machines[0]->node, SIGTERM);
+	ASSERT_TRUE(wait([&] { return log_has(*machines[0], "draining"); }));
+	ASSERT_TRUE(conn.send_order(1));
+	ASSERT_TRUE(conn.send_order(2));
+	EXPECT_EQ(200, conn.read_status());
+	EXPECT_TRUE(conn.closes);
+	EXPECT_EQ(0, conn.read_status());
+	EXPECT_TRUE(fleet_process_wait(machines[0]->node, 6000));
+	EXPECT_EQ(runs + 1, platform_server_run_count(machines[1]->server));
+}
+
 /* The same for the node beside the worker: what it takes from a node that stays
  * is answered, whatever the time at which it arrives. Its worker takes no new
  * work from 2 s on, and it exits at 2.6 s. */
