--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -5,78 +5,19 @@
  * called next; these become watches and a timer of the loop. Finished transfers
  * are collected after each call of the library.
  *
- * An answer exists only from the empty line that ends its head, whatever the
- * library reports: a connection that ends within a head leaves a status and
- * some header fields that prove nothing. It is complete only if its end was
- * delimited (by a length, by chunks, or by a status without a body) and reached.
- * A body that ends with its connection cannot be distinguished from a truncated
- * one.
- *
- * Answers are held whole until they are complete, so a server that never ends
- * one costs memory. Each answer has a limit, and so has their sum: when it is
- * reached, the largest answer is given up, as an endless one outgrows the others.
- *
- * A server may write an answer twice, or late, on a connection that is in use
- * again. Such bytes are recognised by the echo header, which names the request
- * that an answer belongs to. On a connection that served other requests before,
- * an answer without that header belongs to no request. The beginning of such
- * bytes may also be followed by the answer itself, which then continues their
- * head. So a head with a second status line, a line that is no header field, or
- * two lengths belongs to no request either.
+ * http_answer.c decides which of the received bytes are an answer.
  */
-#include "transport/http_client.h"
+#include "transport/http_client_private.h"
 
 #include <arpa/inet.h>
-#include <ctype.h>
-#include <curl/curl.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "base/log.h"
-
 #define CONNECT_TIMEOUT_MS 500L
 #define MAX_IDLE_AGE_S	   20L
-#define MAX_ANSWER_HEADERS 48 /* an answer with more is not accepted */
-#define MAX_HEAD_BYTES	   16384 /* of an answer, interim ones included */
-#define MAX_NAME_BYTES	   255 /* of a header field */
-#define BODY_FIRST_BYTES   4096 /* first allocation for a body */
-#define FREE_HANDLES	   64 /* easy handles kept for reuse */
-
-enum head_state {
-	BEFORE_HEAD, /* also after an interim (1xx) answer */
-	IN_HEAD,
-	AFTER_HEAD, /* of the final answer: body and trailer */
-};
-
-struct fp_http_send {
-	struct fp_http_client *client;
-	CURL *easy;
-	struct curl_slist *headers_out;
-	char *body_out;
-	fp_http_done_fn done;
-	void *ctx;
-	size_t max_answer_bytes;
-	bool given_up; /* the answer is too large, alone or with others */
-	bool once; /* at_most_once of the request */
-	bool unread_bytes; /* the connection had some; not sent there */
-	bool sent; /* sending on a connection has started */
-	enum head_state head_state;
-	const char *echo_header;
-	char *echo_value;
-	bool echo_seen; /* the answer has the header, with that value */
-	uint8_t *body; /* of the answer */
-	size_t body_bytes;
-	size_t body_size; /* allocated */
-	size_t head_bytes;
-	struct fp_http_header headers[MAX_ANSWER_HEADERS]; /* strdup'd */
-	uint32_t n_headers;
-	struct fp_http_send **pprev; /* the pointer that points to this one */
-	struct fp_http_send *next;
-};
 
 struct socket_watch {
 	struct fp_http_client *client;
@@ -91,29 +32,25 @@
 	struct open_socket *next;
 };
 
-struct fp_http_client {
-	struct open_socket *sockets; /* list */
-	struct fp_loop *loop;
-	CURLM *multi;
-	struct fp_timer timer;
-	CURL *free[FREE_HANDLES]; /* easy handles for reuse */
-	uint32_t n_free;
-	struct fp_http_send *active; /* list */
-	struct fp_http_send *given_up; /* list; to be ended */
-	size_t held_bytes; /* allocated for the bodies of all answers */
-	size_t max_held_bytes;
-};
-
 /* --- one transfer --- */
 
-static void clear_answer(struct fp_http_send *s)
+void http_send_link(struct fp_http_send *s, struct fp_http_send **list)
 {
-	uint32_t i;
+	s->next = *list;
+	if (s->next)
+		s->next->pprev = &s->next;
+	s->pprev = list;
+	*list = s;
+}
 
-	for (i = 0; i < s->n_headers; i++)
-		free((char *)(uintptr_t)s->headers[i].name);
-	s->n_headers = 0;
-	s->body_bytes = 0;
+void http_send_unlink(struct fp_http_send *s)
+{
+	if (!s->pprev)
+		return;
+	*s->pprev = s->next;
+	if (s->next)
+		s->next->pprev = s->pprev;
+	s->pprev = NULL;
 }
 
 static CURL *easy_get(struct fp_http_client *c)
@@ -133,258 +70,21 @@
 	c->free[c->n_free++] = easy;
 }
 
-static void send_link(struct fp_http_send *s, struct fp_http_send **list)
-{
-	s->next = *list;
-	if (s->next)
-		s->next->pprev = &s->next;
-	s->pprev = list;
-	*list = s;
-}
-
-/* Removes a request from its list, if it is in one. */
-static void send_unlink(struct fp_http_send *s)
-{
-	if (!s->pprev)
-		return;
-	*s->pprev = s->next;
-	if (s->next)
-		s->next->pprev = s->pprev;
-	s->pprev = NULL;
-}
-
-static void free_body(struct fp_http_send *s)
-{
-	s->client->held_bytes -= s->body_size;
-	free(s->body);
-	s->body = NULL;
-	s->body_size = 0;
-	s->body_bytes = 0;
-}
-
 static void send_free(struct fp_http_send *s)
 {
 	struct fp_http_client *c = s->client;
 
-	send_unlink(s);
+	http_send_unlink(s);
 	curl_multi_remove_handle(c->multi, s->easy);
 	curl_slist_free_all(s->headers_out);
 	easy_put(c, s->easy);
-	clear_answer(s);
+	http_answer_clear(s);
 	free(s->body_out);
 	free(s->echo_value);
-	free_body(s);
+	http_answer_free(s);
 	free(s);
 }
 
-/* Drops what was received of an answer. Its request ends with FP_IO when the
- * library has returned: transfers must not be removed in its callbacks. */
-static void give_up(struct fp_http_send *s, size_t needed_bytes)
-{
-	struct fp_http_client *c = s->client;
-
-	fp_log(FP_LOG_WARN, "answer_given_up",
-	       "bytes=%zu limit=%zu held=%zu held_limit=%zu", needed_bytes,
-	       s->max_answer_bytes, c->held_bytes, c->max_held_bytes);
-	s->given_up = true;
-	free_body(s);
-	send_unlink(s);
-	send_link(s, &c->given_up);
-}
-
-static struct fp_http_send *largest_answer(const struct fp_http_client *c)
-{
-	struct fp_http_send *largest = NULL;
-	struct fp_http_send *s;
-
-	for (s = c->active; s; s = s->next)
-		if (!largest || s->body_size > largest->body_size)
-			largest = s;
-	return largest;
-}
-
-/* Makes room for a body that grows from s->body_size to size, at the cost of
- * the largest one; false if that is this one. */
-static bool make_room(struct fp_http_send *s, size_t size)
-{
-	struct fp_http_client *c = s->client;
-	struct fp_http_send *largest;
-
-	while (c->held_bytes - s->body_size + size > c->max_held_bytes) {
-		largest = largest_answer(c);
-		if (size >= largest->body_size)
-			return false;
-		give_up(largest, largest->body_bytes);
-	}
-	return true;
-}
-
-/* Allocates a body for at least needed bytes; false if it may not grow. */
-static bool grow_body(struct fp_http_send *s, size_t needed)
-{
-	size_t size = s->body_size ? s->body_size : BODY_FIRST_BYTES;
-	uint8_t *body;
-
-	if (needed > s->max_answer_bytes)
-		return false;
-	while (size < needed)
-		size *= 2;
-	if (size > s->max_answer_bytes)
-		size = s->max_answer_bytes;
-	if (size <= s->body_size)
-		return true;
-	if (!make_room(s, size))
-		return false;
-	body = realloc(s->body, size);
-	if (!body)
-		return false;
-	s->client->held_bytes += size - s->body_size;
-	s->body = body;
-	s->body_size = size;
-	return true;
-}
-
-static size_t on_body(char *data, size_t size, size_t n, void *ctx)
-{
-	struct fp_http_send *s = ctx;
-	size_t needed = s->body_bytes + size * n;
-
-	if (s->given_up)
-		return 0;
-	if (!grow_body(s, needed)) {
-		give_up(s, needed);
-		return 0;
-	}
-	memcpy(s->body + s->body_bytes, data, size * n);
-	s->body_bytes = needed;
-	return size * n;
-}
-
-/* Whether an answer whose headers have ended may belong to an earlier request:
- * it does not say to which one it belongs, and the connection has served others
- * before. Interim answers say nothing. */
-static bool may_be_stale(struct fp_http_send *s)
-{
-	long n_connects = 0;
-	long http_status = 0;
-
-	if (!s->echo_value || s->echo_seen)
-		return false;
-	curl_easy_getinfo(s->easy, CURLINFO_RESPONSE_CODE, &http_status);
-	curl_easy_getinfo(s->easy, CURLINFO_NUM_CONNECTS, &n_connects);
-	return http_status >= 200 && n_connects == 0;
-}
-
-/* Whether a status line occurs behind the start of a line: what was sent before
- * it broke off within a head. */
-static bool contains_status_line(const char *line)
-{
-	const char *at = line + 1;
-
-	while ((at = strstr(at, "HTTP/1."))) {
-		if (isdigit((unsigned char)at[7]) && at[8] == ' ' &&
-		    isdigit((unsigned char)at[9]))
-			return true;
-		at++;
-	}
-	return false;
-}
-
-/* Splits "Name: value\r\n" in place; false if it is no header field. */
-static bool split_field(char *line, char **value)
-{
-	size_t name_bytes = strcspn(line, ": \t\r\n");
-
-	if (!name_bytes || name_bytes > MAX_NAME_BYTES ||
-	    line[name_bytes] != ':')
-		return false;
-	line[name_bytes] = '\0';
-	*value = line + name_bytes + 1;
-	*value += strspn(*value, " \t");
-	(*value)[strcspn(*value, "\r\n")] = '\0';
-	return true;
-}
-
-/* Whether a field agrees with the request and with the fields before it. */
-static bool field_is_valid(struct fp_http_send *s, const char *name,
-			   const char *value)
-{
-	const char *earlier;
-
-	if (s->echo_value && strcasecmp(name, s->echo_header) == 0) {
-		s->echo_seen = true;
-		return strcmp(value, s->echo_value) == 0;
-	}
-	if (strcasecmp(name, "Content-Length") != 0)
-		return true;
-	earlier = fp_http_find_header(s->headers, s->n_headers, name);
-	return value[0] && !value[strspn(value, "0123456789")] &&
-	       (!earlier || strcmp(earlier, value) == 0);
-}
-
-/* Stores a header field; false: the answer cannot be accepted. */
-static bool store_field(struct fp_http_send *s, const char *data, size_t len)
-{
-	char *line = strndup(data, len);
-	char *value;
-
-	if (!line)
-		return false;
-	if (s->n_headers == MAX_ANSWER_HEADERS || contains_status_line(line) ||
-	    !split_field(line, &value) || !field_is_valid(s, line, value)) {
-		free(line);
-		return false;
-	}
-	s->headers[s->n_headers].name = line;
-	s->headers[s->n_headers].value = value;
-	s->n_headers++;
-	return true;
-}
-
-/* Starts a head; what was stored belongs to an interim answer. */
-static bool begin_head(struct fp_http_send *s, const char *data, size_t len)
-{
-	char *line = strndup(data, len);
-	bool valid = line && !contains_status_line(line);
-
-	free(line);
-	clear_answer(s);
-	s->echo_seen = false;
-	s->head_state = IN_HEAD;
-	return valid;
-}
-
-static bool end_head(struct fp_http_send *s)
-{
-	long http_status = 0;
-
-	curl_easy_getinfo(s->easy, CURLINFO_RESPONSE_CODE, &http_status);
-	s->head_state = http_status >= 200 ? AFTER_HEAD : BEFORE_HEAD;
-	return !may_be_stale(s);
-}
-
-/* Handles one line of a head or of a trailer, whose fields are not forwarded.
- * If the line is not accepted, the library closes the connection. */
-static size_t on_header(char *data, size_t size, size_t n, void *ctx)
-{
-	struct fp_http_send *s = ctx;
-	size_t len = size * n;
-	bool accepted;
-
-	if (s->head_state == AFTER_HEAD)
-		return len;
-	s->head_bytes += len;
-	if (s->head_bytes > MAX_HEAD_BYTES)
-		return 0;
-	if (s->head_state == BEFORE_HEAD)
-		accepted = begin_head(s, data, len);
-	else if (data[0] == '\r' || data[0] == '\n')
-		accepted = end_head(s);
-	else
-		accepted = store_field(s, data, len);
-	return accepted ? len : 0;
-}
-
 /* --- open sockets --- */
 
 /* The library does not tell which socket a request is about to be sent on, only
@@ -476,34 +176,12 @@
 	return CURL_PREREQFUNC_OK;
 }
 
-/* Whether the end of the body was delimited, so that a truncated body would
- * have been detected. */
-static bool body_is_delimited(struct fp_http_send *s, long http_status)
-{
-	const char *coding;
-
-	if (http_status == 204 || http_status == 304)
-		return true;
-	coding = fp_http_find_header(s->headers, s->n_headers,
-				     "Transfer-Encoding");
-	if (coding)
-		return strcasecmp(coding, "chunked") == 0;
-	return fp_http_find_header(s->headers, s->n_headers,
-				   "Content-Length") != NULL;
-}
-
-static bool is_complete(struct fp_http_send *s, long http_status)
-{
-	return s->head_state == AFTER_HEAD && !s->given_up &&
-	       body_is_delimited(s, http_status);
-}
-
 static enum fp_status status_of(struct fp_http_send *s, CURLcode rc,
 				long http_status)
 {
 	switch (rc) {
 	case CURLE_OK:
-		return is_complete(s, http_status) ? FP_OK : FP_IO;
+		return http_answer_is_complete(s, http_status) ? FP_OK : FP_IO;
 	case CURLE_COULDNT_CONNECT:
 	case CURLE_COULDNT_RESOLVE_HOST:
 	case CURLE_URL_MALFORMAT:
@@ -775,9 +453,9 @@
 	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, timeout_ms);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, MAX_IDLE_AGE_S);
-	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, http_answer_on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, s);
-	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, http_answer_on_line);
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, s);
 	curl_easy_setopt(e, CURLOPT_PRIVATE, s);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_sending);
@@ -815,7 +493,7 @@
 		free(s);
 		return fp_fail(FP_NOMEM, "out of memory");
 	}
-	send_link(s, &c->active);
+	http_send_link(s, &c->active);
 	set_options(s, o);
 	st = set_headers(s, o);
 	if (st == FP_OK)
