--- a/test/directory_sim.h
+++ b/test/directory_sim.h
@@ -496,6 +496,17 @@
 		run_ms(10);
 	}
 
+	/* Ends the process, as a kill does; the store goes on for ms. */
+	void end_process(int ms)
+	{
+		fp_directory_close(d);
+		run_ms(ms); /* answers of open calls */
+		store.watches.clear();
+		fp_directory_end(d);
+		d = nullptr;
+		members.clear();
+	}
+
 	/* Starts n1 with a member n2 in the store, and runs for ms. */
 	void start_with_n2(int ms)
 	{
