A build folder of other sources is built anew

Cause: make compares modification times only. Objects that were copied, or left by another checkout or machine, are newer than the sources, count as up to date and are linked into the program without an error.

Now the build folder keeps the checksums of its sources, the compiler and the flags. A difference that is not an edit newer than that list removes objects, libraries and programs before make compares times.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,14 @@
 E2E := $(filter $(B)/test/test_e2e_%,$(TESTS))
 UNIT := $(filter-out $(E2E),$(TESTS))
 
+# Objects that were built from other sources are removed before make compares
+# modification times.
+ifneq ($(shell sh tools/check-build.sh $(B) '$(shell $(lastword $(CC)) \
+	-dumpmachine -dumpversion 2>&1 | tr "\n" " ") $(CFLAGS) $(CXXFLAGS)' \
+	>&2 && echo done),done)
+$(error cannot check the build folder $(B))
+endif
+
 .PHONY: asan-build asan-unit tsan fuzz-corpus all check unit e2e demo bench slopes faults fuzz model lint format \
 	deps clean
 
