--- a/fuzz/fuzz_messages.c
+++ b/fuzz/fuzz_messages.c
@@ -1,9 +1,11 @@
-/* fuzz_messages.c - libFuzzer target: all decoders of node messages */
+/* fuzz_messages.c - libFuzzer target: decoders of node messages and of the load
+ * that backend servers report */
 #include <stddef.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "platform/platform.h"
 #include "protocol/msg_call.h"
 #include "protocol/msg_config.h"
 #include "protocol/msg_shared.h"
@@ -50,6 +52,18 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+static void try_load(const uint8_t *data, size_t size)
+{
+	struct fp_backend_load load;
+	char *text = calloc(size + 1, 1);
+
+	if (!text)
+		abort();
+	memcpy(text, data, size);
+	platform_dialect.load(text, &load);
+	free(text);
+}
+
 static void on_update(void *ctx, const struct fp_msg_swim *head,
 		      const struct fp_swim_member *m, bool brief)
 {
@@ -68,6 +82,7 @@
 	struct fp_msg_config_record record;
 
 	fp_msg_type(data, size);
+	try_load(data, size);
 	try_call(data, size);
 	fp_msg_config_get_decode(data, size);
 	fp_msg_config_record_decode(data, size, &record);
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -44,6 +44,9 @@
 	uint32_t running; /**< requests that it runs */
 	uint32_t waiting; /**< requests in its queue */
 	uint32_t slots; /**< requests that it can run at a time */
+	/** time that work takes on its machine at this moment, percent of the
+	 * usual; 0: not reported */
+	uint32_t work_percent;
 };
 
 /** Header names, NULL where there is none, and other conventions. */
