Tests with real nodes: an evacuated domain, cold servers; a young doubt stands

A worker whose domain was just taken back, or that could not be reached, counts as cold; an announcement that was under way at that time no longer ends this.

--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -284,6 +284,9 @@
 	backend_read_result(t, res, &r);
 	if (r.reason != FP_REASON_NONE || r.http_status >= 500)
 		log_failure(e, r.outcome, r.reason, r.run_us);
+	/* A worker that is away may come back, cold, before it says so. */
+	if (r.reason == FP_REASON_NO_WORKER)
+		cold_doubt(t, "unreachable");
 	if (r.reason == FP_REASON_CUT || r.reason == FP_REASON_NO_WORKER)
 		worker_note_aborted(t, e->msg.fingerprint);
 	if (r.outcome == FP_OUTCOME_RAN || r.reason == FP_REASON_DEADLINE)
--- a/src/state/cold_rate.h
+++ b/src/state/cold_rate.h
@@ -26,7 +26,8 @@
  */
 void fp_cold_rate_set(struct fp_cold_rate *c, uint32_t per_s, int64_t start_us);
 
-/** The worker said that it stays cold for left_us; 0: it is warm. */
+/** The worker said that it stays cold for left_us; 0: it is warm. Less than what
+ *  a doubt assumes has no effect for the first two seconds of the doubt. */
 void fp_cold_rate_told(struct fp_cold_rate *c, int64_t left_us, int64_t now_us);
 
 /** Nothing is known any more: the worker counts as cold until it says
--- a/test/standin/lib_platform.h
+++ b/test/standin/lib_platform.h
@@ -88,6 +88,9 @@
 /** Announces the server once, with a state such as "ready" or "draining";
  *  false if not acknowledged. */
 bool platform_server_announce(struct platform_server *s, const char *state);
+/** Sets how much longer the server is cold, as its announcements from now on
+ *  say; at first it is warm. */
+void platform_server_set_cold(struct platform_server *s, int ms);
 /** Deregisters the server; false if not acknowledged. */
 bool platform_server_deregister(struct platform_server *s);
 /** Number of requests that the server began to run. */
