Test: an older set of evacuated domains replaces no newer one

The schedules of test_evacuation do not fail when the order of sets by store revision is taken out, as answers to older requests are dropped before. The new case of test_directory_relay gives an older set directly; it fails without the order.

--- a/test/test_directory_relay.cc
+++ b/test/test_directory_relay.cc
@@ -130,6 +130,35 @@
 	}
 };
 
+/* A delegate that has read the store earlier than another one does not bring
+ * back what has changed since; one that has read nothing changes nothing. */
+TEST_F(Follower, KeepsTheNewestSetOfEvacuatedDomains)
+{
+	struct fp_evacuation sets[] = { { 20, 1, { "d1" } },
+					{ 19, 0, {} },
+					{ 0, 0, {} },
+					{ 21, 2, { "d1", "d2" } },
+					{ 20, 1, { "d1" } } };
+	uint32_t n_known[] = { 1, 1, 1, 2, 2 };
+
+	follow();
+	for (int i = 0; i < 5; i++) {
+		struct fp_msg_shared m = {};
+		size_t n_requests = sent.size();
+
+		m.type = FP_MSG_CONFIRM_RESPONSE;
+		m.id = sent.back().second.id;
+		m.confirm_response.status = FP_OK;
+		m.confirm_response.item_revision =
+			store.items["op/config"].revision;
+		m.confirm_response.evacuation = sets[i];
+		fp_directory_message(d, "10.0.0.2:80", &m);
+		EXPECT_EQ(n_known[i], fp_directory_evacuation(d)->n) << i;
+		while (sent.size() == n_requests)
+			run_ms(1);
+	}
+}
+
 TEST_F(Follower, DoesNotReadTheStoreWhileItsDelegateAnswers)
 {
 	follow();
