Buckets follow the process that answers at a member's address

The record of a lost node stays in the member table for 8 s. When its address was given to another node meanwhile, the link to it stood again, so the lost node stayed the owner of its organisations: token requests reached a node without shares, and commitments were answered by a process that they were not for, so no share was ever committed until the record was removed.

--- a/src/node/owner.c
+++ b/src/node/owner.c
@@ -2,7 +2,9 @@
  * owner.c - token buckets of organisations at their owner, hosted only
  *
  * An organisation's bucket is owned by the member whose name has the highest
- * rendezvous hash for it, so a restarted node owns the same buckets again.
+ * rendezvous hash for it, so a restarted node owns the same buckets again: from
+ * the moment that its link shows the new process, if that is earlier than the
+ * member table does.
  * There is no agreement on the owner: nodes with different member tables may
  * send requests to different nodes, and every node answers them. This does not
  * increase the total rate, because a bucket earns no more than the rate shares
@@ -13,9 +15,9 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "base/log.h"
+#include "node/owner_rank.h"
 #include "state/pool.h"
 
 /* Interval of attempts to reconnect to a disconnected member. */
@@ -45,6 +47,14 @@
 	struct disconnected_member *next;
 };
 
+/* A process that was found at a member's address, later than the one that the
+ * member table has there. */
+struct restarted_member {
+	uint64_t id;
+	char addr[FP_MEMBER_ADDR_BYTES];
+	struct restarted_member *next;
+};
+
 struct owner {
 	struct org_bucket *buckets;
 	/* buckets created so far: gives each its own epoch, so that grant ids
@@ -52,6 +62,7 @@
 	uint64_t n_created;
 	struct disconnected_member *disconnected;
 	uint32_t n_disconnected;
+	struct restarted_member *restarted;
 	uint64_t view; /* counts changes of members and links */
 	int64_t dialed_us; /* last reconnect attempt */
 };
@@ -78,44 +89,46 @@
 	return d != NULL;
 }
 
-static uint64_t member_rank(const struct fp_member *m, uint64_t seed)
+static bool is_unreachable(void *ctx, const struct fp_member *m)
 {
-	return XXH3_64bits_withSeed(m->name, strlen(m->name), seed);
+	const struct fp_traffic *t = ctx;
+
+	return m->id != t->node_id && is_disconnected(t->owner, m->peer_addr);
 }
 
-/* Returns the highest-ranked member for an organisation among those with a rank
- * less than below. connected: leaves out members whose link is disconnected. */
-static const struct fp_member *highest_ranked(const struct fp_traffic *t,
-					      const char *org, bool connected,
-					      uint64_t below)
+/* Returns the highest-ranked member for an organisation among those that are
+ * connected and have a rank less than below. */
+static const struct fp_member *
+highest_connected(struct fp_traffic *t, const char *org, uint64_t below)
 {
-	uint64_t seed = XXH3_64bits(org, strlen(org));
-	const struct fp_member *best = NULL;
-	uint32_t i;
+	return t->members ? owner_rank_highest(t->members, org, below,
+					       is_unreachable, t) :
+			    NULL;
+}
 
-	for (i = 0; t->members && i < t->members->n; i++) {
-		const struct fp_member *m = &t->members->members[i];
-		uint64_t rank = member_rank(m, seed);
+/* Returns the entry of an address at which a later process than that of the
+ * member table was found. */
+static const struct restarted_member *find_restarted(const struct owner *o,
+						     const char *addr)
+{
+	const struct restarted_member *r = o->restarted;
 
-		if (rank >= below || (best && rank <= member_rank(best, seed)))
-			continue;
-		if (connected && m->id != t->node_id &&
-		    is_disconnected(t->owner, m->peer_addr))
-			continue;
-		best = m;
-	}
-	return best;
+	while (r && strcmp(r->addr, addr) != 0)
+		r = r->next;
+	return r;
 }
 
-uint64_t owner_select(const struct fp_traffic *t, const char *org,
-		      uint32_t n_skipped)
+uint64_t owner_select(struct fp_traffic *t, const char *org, uint32_t n_skipped)
 {
-	uint64_t seed = XXH3_64bits(org, strlen(org));
-	const struct fp_member *m = highest_ranked(t, org, true, UINT64_MAX);
+	const struct fp_member *m = highest_connected(t, org, UINT64_MAX);
+	const struct restarted_member *r;
 
 	while (m && n_skipped--)
-		m = highest_ranked(t, org, true, member_rank(m, seed));
-	return m ? m->id : 0;
+		m = highest_connected(t, org, owner_rank_of(m, org));
+	if (!m)
+		return 0;
+	r = find_restarted(t->owner, m->peer_addr);
+	return r && r->id > m->id ? r->id : m->id;
 }
 
 static struct org_bucket *find_bucket(const struct owner *o, const char *org)
@@ -169,7 +182,7 @@
 
 	if (i < 0 || !t->config->orgs[i].rate_per_s)
 		return false;
-	m = highest_ranked(t, org, false, UINT64_MAX);
+	m = owner_rank_highest(t->members, org, UINT64_MAX, NULL, NULL);
 	return m && m->id == t->node_id;
 }
 
@@ -225,6 +238,64 @@
 	}
 }
 
+static uint64_t member_id_at(const struct fp_traffic *t, const char *addr)
+{
+	uint64_t id = 0;
+	uint32_t i;
+
+	for (i = 0; t->members && i < t->members->n; i++)
+		if (t->members->members[i].id > id &&
+		    strcmp(t->members->members[i].peer_addr, addr) == 0)
+			id = t->members->members[i].id;
+	return id;
+}
+
+/* Frees the entries of processes that the member table has, and of addresses
+ * that are no longer in it. */
+static void drop_restarted(struct fp_traffic *t)
+{
+	struct restarted_member **at = &t->owner->restarted;
+	struct restarted_member *r;
+	uint64_t id;
+
+	while ((r = *at)) {
+		id = member_id_at(t, r->addr);
+		if (id && id < r->id) {
+			at = &r->next;
+			continue;
+		}
+		*at = r->next;
+		free(r);
+	}
+}
+
+/* Notes a process whose link came up and which the member table does not have
+ * yet; returns whether that changes the owners. */
+static bool note_restarted(struct fp_traffic *t,
+			   const struct fp_peer_identity *who)
+{
+	uint64_t known = member_id_at(t, who->addr);
+	struct restarted_member *r;
+
+	if (!known || known >= who->id)
+		return false;
+	for (r = t->owner->restarted; r; r = r->next)
+		if (strcmp(r->addr, who->addr) == 0)
+			break;
+	if (!r) {
+		r = calloc(1, sizeof(*r));
+		if (!r)
+			abort();
+		memcpy(r->addr, who->addr, sizeof(r->addr));
+		r->next = t->owner->restarted;
+		t->owner->restarted = r;
+	}
+	if (r->id >= who->id)
+		return false;
+	r->id = who->id;
+	return true;
+}
+
 uint64_t owner_view(const struct fp_traffic *t)
 {
 	return t->owner->view;
@@ -240,6 +311,7 @@
 	if (!t->config || !t->members)
 		return;
 	drop_disconnected(t);
+	drop_restarted(t);
 	drop_unowned(t, now_us);
 	for (i = 0; i < t->config->n_orgs; i++) {
 		const struct fp_org *org = &t->config->orgs[i];
@@ -402,17 +474,30 @@
 	free(k);
 }
 
+/* Returns the address of a process; NULL if it is not known. */
+static const char *address_of(const struct fp_traffic *t, uint64_t id)
+{
+	const struct fp_member *m = traffic_member(t, id);
+	const struct restarted_member *r = t->owner->restarted;
+
+	if (m)
+		return m->peer_addr;
+	while (r && r->id != id)
+		r = r->next;
+	return r ? r->addr : NULL;
+}
+
 void owner_send(struct fp_traffic *t, uint64_t id,
 		const struct fp_msg_shared *m)
 {
-	const struct fp_member *owner = traffic_member(t, id);
+	const char *addr = address_of(t, id);
 	struct fp_peer_link *link;
 	struct local_message *k;
 
-	if (!owner)
+	if (!addr)
 		return;
 	if (id != t->node_id) {
-		link = fp_peer_link_to(t->peers, owner->peer_addr);
+		link = fp_peer_link_to(t->peers, addr);
 		if (link)
 			traffic_send_on(link, m);
 		return;
@@ -427,7 +512,7 @@
 
 /* --- links --- */
 
-void owner_link(struct fp_traffic *t, const char *addr, bool up)
+static void set_connected(struct fp_traffic *t, const char *addr, bool up)
 {
 	struct disconnected_member **at = &t->owner->disconnected;
 	struct disconnected_member *d;
@@ -452,6 +537,14 @@
 	owner_update(t);
 }
 
+void owner_link(struct fp_traffic *t, const struct fp_peer_identity *who,
+		bool up)
+{
+	if (up && note_restarted(t, who))
+		owner_update(t);
+	set_connected(t, who->addr, up);
+}
+
 static void report_grants(struct fp_traffic *t)
 {
 	int64_t now_us = clock_now_us(t);
@@ -489,10 +582,10 @@
 	for (d = t->owner->disconnected; d; d = d->next) {
 		link = fp_peer_link_to(t->peers, d->addr);
 		/* Two nodes may have had two links, only one of which went
-		 * down. owner_link() changes the list, so the remaining
+		 * down. set_connected() changes the list, so the remaining
 		 * entries are handled at the next attempt. */
 		if (link && fp_peer_is_up(link)) {
-			owner_link(t, d->addr, true);
+			set_connected(t, d->addr, true);
 			return;
 		}
 	}
@@ -502,6 +595,7 @@
 {
 	struct org_bucket *b;
 	struct disconnected_member *d;
+	struct restarted_member *r;
 
 	if (!t->owner)
 		return;
@@ -513,5 +607,9 @@
 		t->owner->disconnected = d->next;
 		free(d);
 	}
+	while ((r = t->owner->restarted)) {
+		t->owner->restarted = r->next;
+		free(r);
+	}
 	free(t->owner);
 }
--- a/src/node/owner.h
+++ b/src/node/owner.h
@@ -15,7 +15,7 @@
 /** Returns the id of the node to request an organisation's tokens from: the
  *  highest-ranked member whose link is not disconnected, after skipping the
  *  first n_skipped of these; 0 if there is none. */
-uint64_t owner_select(const struct fp_traffic *t, const char *org,
+uint64_t owner_select(struct fp_traffic *t, const char *org,
 		      uint32_t n_skipped);
 
 /** Returns a number that increases with every change of members or links, at
@@ -33,7 +33,8 @@
 			     const struct fp_msg_shared *m);
 
 /** Handles a link that came up, or that went down after it had been up. */
-void owner_link(struct fp_traffic *t, const char *addr, bool up);
+void owner_link(struct fp_traffic *t, const struct fp_peer_identity *who,
+		bool up);
 
 /** Logs grants and reconnects disconnected members; called at every tick of the
  *  traffic thread. */
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -160,7 +160,7 @@
 	execution_link_down(t, link);
 	/* A failed connection attempt changes no link state. */
 	if (t->hosted && was_up)
-		owner_link(t, fp_peer_identity(link)->addr, false);
+		owner_link(t, fp_peer_identity(link), false);
 }
 
 static void on_link_up(void *ctx, struct fp_peer_link *link)
@@ -168,7 +168,7 @@
 	struct fp_traffic *t = ctx;
 
 	if (t->hosted)
-		owner_link(t, fp_peer_identity(link)->addr, true);
+		owner_link(t, fp_peer_identity(link), true);
 }
 
 static enum fp_status open_http(struct fp_traffic *t)
