Reserves that a node cannot use itself go to the bucket

A reserve covers what a share earns in a bucket that was lost. A node spent it in whole tokens only, so in a fleet of 70 an organisation with 43 requests a second had none: 0.31 of a token at each node. After all nodes were killed such an organisation started with an empty bucket and nothing else. Now the unused reserve goes with the next commitment and the bucket grants the sum, at most what the whole rate earns in a hold, for a second. A bucket that loses shares takes their reserves out in parts of a token too.

The commitment has an eighth field.

--- a/src/protocol/msg_shared.c
+++ b/src/protocol/msg_shared.c
@@ -279,12 +279,16 @@
 	code_u32(c, &k->n_shares);
 	code_span(c, &k->owner_clock_us);
 	code_span(c, &k->owner_clock_age_us);
+	code_span(c, &k->reserve_micro);
 	if (k->n_shares == 0)
 		fail(c, "number of rate shares is zero");
 	if (k->hold_us > FP_RATE_SHARE_MAX_SPAN_US ||
 	    k->owner_clock_age_us > FP_RATE_SHARE_MAX_SPAN_US ||
 	    k->owner_clock_us > INT64_MAX / 2)
 		fail(c, "span is out of range");
+	if (k->reserve_micro > UINT32_MAX * FP_RATE_SHARE_HOLD_US ||
+	    (k->reserve_micro && !k->hold_us))
+		fail(c, "reserve is out of range or without a commitment");
 }
 
 static void code_share_response(struct codec *c, struct fp_msg_shared *m)
@@ -456,7 +460,7 @@
 		FP_MSG_GRANT_REQUEST] = { 2, code_config_request },
 	[FP_MSG_CONFIG_PART - FP_MSG_GRANT_REQUEST] = { 5, code_config_part },
 	[FP_MSG_RATE_SHARE_COMMIT -
-		FP_MSG_GRANT_REQUEST] = { 7, code_share_commit },
+		FP_MSG_GRANT_REQUEST] = { 8, code_share_commit },
 	[FP_MSG_RATE_SHARE_RESPONSE -
 		FP_MSG_GRANT_REQUEST] = { 3, code_share_response },
 };
--- a/src/state/pool.c
+++ b/src/state/pool.c
@@ -9,6 +9,10 @@
  * The burst follows the rate. A newly committed share adds only 1 /
  * NEW_SHARE_DIVISOR of its burst until the grants that its previous bucket may
  * have given have expired.
+ *
+ * Reserves that nodes did not use (rate_share.c) are kept beside the bucket and
+ * granted when it is empty. Together they are at most what the whole rate earns
+ * in FP_RATE_SHARE_HOLD_US, whatever number of shares the nodes assume.
  */
 #include "state/pool.h"
 
@@ -19,6 +23,8 @@
 /* Fractions of the organisation's rate are integers out of this. */
 #define WHOLE_RATE	  (UINT64_C(1) << 32)
 #define NEW_SHARE_DIVISOR 8 /* a new share adds burst / this */
+/* id of grants out of reserves; no open grant of the bucket has it */
+#define RESERVE_GRANT_ID UINT64_MAX
 /* a time span of another clock is reduced by span / this, which exceeds the
  * maximum drift between clocks */
 #define DRIFT_DIVISOR 1000
@@ -40,6 +46,9 @@
 	uint32_t burst; /* of the fleet, tokens */
 	uint32_t committed_rate; /* refill rate of the bucket, per second */
 	int64_t updated_us; /* time of the last update */
+	int64_t reserve_micro; /* reserves of nodes, millionths of a token */
+	int64_t reserve_until_us; /* end of their validity */
+	int64_t owed_micro; /* part of a token to remove for reserves */
 	struct committed *shares;
 	uint32_t n; /* entries of shares, committed or released */
 	uint32_t capacity; /* allocated entries */
@@ -118,17 +127,18 @@
 static void remove_reserve(struct fp_pool *p, const struct committed *k,
 			   int64_t now_us)
 {
-	int64_t reserve_micro = fp_rate_share_reserve_micro(
-		p->rate_per_s, p->burst, k->n_shares,
-		k->reported_fill_permille);
 	uint32_t granted;
 	uint64_t id;
 	int64_t wait_us;
 
-	if (reserve_micro >= FP_MICRO_PER_TOKEN)
+	p->owed_micro += fp_rate_share_reserve_micro(p->rate_per_s, p->burst,
+						     k->n_shares,
+						     k->reported_fill_permille);
+	if (p->owed_micro >= FP_MICRO_PER_TOKEN)
 		fp_bucket_grant(p->bucket,
-				(uint32_t)(reserve_micro / FP_MICRO_PER_TOKEN),
+				(uint32_t)(p->owed_micro / FP_MICRO_PER_TOKEN),
 				now_us, &id, &granted, &wait_us);
+	p->owed_micro %= FP_MICRO_PER_TOKEN;
 }
 
 static void drop_ended(struct fp_pool *p, int64_t now_us)
@@ -208,6 +218,34 @@
 	set_bucket(p, now_us);
 }
 
+static void add_reserve(struct fp_pool *p, int64_t reserve_micro,
+			int64_t now_us)
+{
+	int64_t max_micro = p->rate_per_s * FP_RATE_SHARE_HOLD_US;
+
+	if (!reserve_micro)
+		return;
+	if (now_us >= p->reserve_until_us)
+		p->reserve_micro = 0;
+	p->reserve_micro += reserve_micro;
+	if (p->reserve_micro > max_micro)
+		p->reserve_micro = max_micro;
+	p->reserve_until_us = now_us + FP_RATE_SHARE_RESERVE_US;
+}
+
+/* Takes up to want tokens out of the reserves; returns how many. */
+static uint32_t take_reserve(struct fp_pool *p, uint32_t want, int64_t now_us)
+{
+	int64_t n = p->reserve_micro / FP_MICRO_PER_TOKEN;
+
+	if (now_us >= p->reserve_until_us)
+		return 0;
+	if (n > want)
+		n = want;
+	p->reserve_micro -= n * FP_MICRO_PER_TOKEN;
+	return (uint32_t)n;
+}
+
 void fp_pool_commit(struct fp_pool *p, uint64_t node,
 		    const struct fp_commitment *c, int64_t now_us)
 {
@@ -235,6 +273,7 @@
 		k->committed_at_us = now_us;
 	k->n_shares = c->n_shares;
 	k->until_us = sent_us + hold_us;
+	add_reserve(p, c->reserve_micro, now_us);
 	set_bucket(p, now_us);
 	k->reported_fill_permille = fill_permille(p, now_us);
 }
@@ -243,11 +282,18 @@
 			     uint64_t *grant_id, uint32_t *granted,
 			     int64_t *wait_us)
 {
+	enum fp_status st;
+
 	advance(p, now_us);
 	if (!p->committed_rate)
 		return fp_fail(FP_UNAVAILABLE, "no share is committed");
-	return fp_bucket_grant(p->bucket, want, now_us, grant_id, granted,
-			       wait_us);
+	st = fp_bucket_grant(p->bucket, want, now_us, grant_id, granted,
+			     wait_us);
+	if (st != FP_EXHAUSTED)
+		return st;
+	*granted = take_reserve(p, want, now_us);
+	*grant_id = RESERVE_GRANT_ID;
+	return *granted ? FP_OK : FP_EXHAUSTED;
 }
 
 enum fp_status fp_pool_return(struct fp_pool *p, uint64_t grant_id,
--- a/src/state/pool.h
+++ b/src/state/pool.h
@@ -46,7 +46,8 @@
 		    const struct fp_commitment *c, int64_t now_us);
 
 /**
- * Grants tokens as fp_bucket_grant() does.
+ * Grants tokens as fp_bucket_grant() does, and out of the reserves of nodes when
+ * the bucket is empty; what is not spent of the latter is not taken back.
  *
  * @return also FP_UNAVAILABLE, when the committed shares give less than one
  *         token per second
--- a/src/state/rate_share.c
+++ b/src/state/rate_share.c
@@ -23,6 +23,10 @@
  * empty. A process that starts also uses a reserve, for the commitments of its
  * predecessor.
  *
+ * In a large fleet a node's reserve may be less than a token. What the node has
+ * not used of it therefore goes with the next commitment, and the bucket grants
+ * the sum of these amounts.
+ *
  * A share becomes invalid by itself, before the other nodes divide the rate
  * without this node (directory_members.c).
  */
@@ -31,9 +35,6 @@
 /* Minimum time between two reserves of one node: an owner that is repeatedly
  * unreachable may not be running to remove the tokens that a reserve uses. */
 #define RESERVE_INTERVAL_US INT64_C(5000000)
-/* Validity of a reserve, from when it is filled. No request waits for a token
- * for longer. */
-#define RESERVE_VALID_US INT64_C(1000000)
 
 void fp_rate_share_init(struct fp_rate_share *p)
 {
@@ -62,6 +63,36 @@
 	return p->owner == owner || !fp_rate_share_is_committed(p, now_us);
 }
 
+int64_t fp_rate_share_reserve_micro(uint32_t rate_per_s, uint32_t burst,
+				    uint32_t n_shares, uint32_t fill_permille)
+{
+	int64_t earned_micro = rate_per_s * FP_RATE_SHARE_HOLD_US;
+	int64_t available_micro =
+		burst * (FP_MICRO_PER_TOKEN / 1000) * fill_permille;
+
+	return (earned_micro < available_micro ? earned_micro :
+						 available_micro) /
+	       n_shares;
+}
+
+/* Fills the reserve when a commitment has expired without a release. */
+static void fill_reserve(struct fp_rate_share *p,
+			 const struct fp_share_validity *v, int64_t now_us)
+{
+	if (!p->unreleased || fp_rate_share_is_committed(p, now_us) ||
+	    !fp_share_is_valid(v, now_us))
+		return;
+	p->unreleased = false;
+	if (p->reserve_filled_us &&
+	    now_us - p->reserve_filled_us < RESERVE_INTERVAL_US)
+		return;
+	p->reserve_micro = fp_rate_share_reserve_micro(
+		p->bucket.rate_per_s, p->bucket.burst, p->bucket.n_shares,
+		p->fill_permille);
+	p->reserve_until_us = now_us + FP_RATE_SHARE_RESERVE_US;
+	p->reserve_filled_us = now_us;
+}
+
 static void fill_commitment(const struct fp_rate_share *p, int64_t now_us,
 			    struct fp_commitment *out)
 {
@@ -69,6 +100,7 @@
 	out->release = false;
 	out->sent_us = now_us;
 	out->n_shares = p->bucket.n_shares ? p->bucket.n_shares : 1;
+	out->reserve_micro = 0;
 	out->owner_clock_us = p->owner_clock_us;
 	out->owner_clock_age_us =
 		p->owner_clock_us ? now_us - p->owner_clock_read_us : 0;
@@ -90,6 +122,10 @@
 	fill_commitment(p, now_us, out);
 	if (!fp_rate_share_can_commit(p, v, owner, now_us))
 		return;
+	fill_reserve(p, v, now_us);
+	if (now_us < p->reserve_until_us)
+		out->reserve_micro = p->reserve_micro;
+	p->reserve_micro = 0;
 	out->hold_us = hold_us < left_us ? hold_us : left_us;
 	p->owner = owner;
 	p->awaiting_response = true;
@@ -130,36 +166,6 @@
 	p->awaiting_response = false;
 }
 
-int64_t fp_rate_share_reserve_micro(uint32_t rate_per_s, uint32_t burst,
-				    uint32_t n_shares, uint32_t fill_permille)
-{
-	int64_t earned_micro = rate_per_s * FP_RATE_SHARE_HOLD_US;
-	int64_t available_micro =
-		burst * (FP_MICRO_PER_TOKEN / 1000) * fill_permille;
-
-	return (earned_micro < available_micro ? earned_micro :
-						 available_micro) /
-	       n_shares;
-}
-
-/* Fills the reserve when a commitment has expired without a release. */
-static void fill_reserve(struct fp_rate_share *p,
-			 const struct fp_share_validity *v, int64_t now_us)
-{
-	if (!p->unreleased || fp_rate_share_is_committed(p, now_us) ||
-	    !fp_share_is_valid(v, now_us))
-		return;
-	p->unreleased = false;
-	if (p->reserve_filled_us &&
-	    now_us - p->reserve_filled_us < RESERVE_INTERVAL_US)
-		return;
-	p->reserve_micro = fp_rate_share_reserve_micro(
-		p->bucket.rate_per_s, p->bucket.burst, p->bucket.n_shares,
-		p->fill_permille);
-	p->reserve_until_us = now_us + RESERVE_VALID_US;
-	p->reserve_filled_us = now_us;
-}
-
 enum fp_status fp_rate_share_take_reserve(struct fp_rate_share *p,
 					  const struct fp_share_validity *v,
 					  int64_t now_us)
--- a/src/state/rate_share.h
+++ b/src/state/rate_share.h
@@ -12,6 +12,9 @@
 extern "C" {
 #endif
 
+/** Validity of a reserve from when it is filled, and at a bucket that gets it,
+ *  microseconds. No request waits for a token for longer. */
+#define FP_RATE_SHARE_RESERVE_US INT64_C(1000000)
 /** Duration of a commitment to a bucket that is in demand, microseconds. A node
  * that loses its connection to the owner cannot use its share until this time
  * has passed since its last commitment. */
@@ -66,6 +69,9 @@
 	int64_t owner_clock_us;
 	/** time from the arrival of that answer to the sending */
 	int64_t owner_clock_age_us;
+	/** unused reserve of the sender, which it gives to the bucket,
+	 *  millionths of a token */
+	int64_t reserve_micro;
 };
 
 /** Initialises a share that was not used since this process started. */
@@ -78,7 +84,8 @@
 /**
  * Prepares a commitment to an owner, to be sent at once.
  *
- * It is only a clock probe (hold_us 0), which does not commit the share, if the
+ * A reserve that was not used locally goes with the commitment. It is only a
+ * clock probe (hold_us 0), which does not commit the share, if the
  * share is not valid or is committed to another owner, if there is no recent
  * clock reading of this owner, or if it has not yet answered the last
  * commitment.
--- a/test/rate_shares_sim.h
+++ b/test/rate_shares_sim.h
@@ -87,6 +87,8 @@
 	double demand_per_s = 0;
 	double owed = 0; /* demand not yet turned into requests */
 	std::deque<Message> inbox;
+	/* requests that wait for a token, by their arrival; see patience_us */
+	std::deque<int64_t> queue;
 };
 
 class Simulation
@@ -117,6 +119,7 @@
 		n.standalone = n.timed_out = n.was_removed = false;
 		n.n_skipped = 0;
 		n.inbox.clear();
+		n.queue.clear();
 		n.grants = fp_grants_init();
 		n.pool = fp_pool_init(n.epoch * 64 + (uint64_t)(&n - &nodes[0]),
 				      clock(n));
@@ -256,6 +259,7 @@
 						      t,
 						      c.n_shares,
 						      now_us,
+						      0,
 						      0 };
 				fp_pool_commit(n.pool, 1000 + k, &all, now_us);
 			}
@@ -389,6 +393,23 @@
 		n.view = now;
 	}
 
+	void serve_queue(Node &n)
+	{
+		int64_t now_us = clock(n);
+
+		while (!n.queue.empty()) {
+			if (n.queue.front() + patience_us > t) {
+				if (fp_grants_take(n.grants, now_us) != FP_OK &&
+				    fp_rate_share_take_reserve(&n.share,
+							       &n.validity,
+							       now_us) != FP_OK)
+					return;
+				admit();
+			}
+			n.queue.pop_front();
+		}
+	}
+
 	void run_node(int i)
 	{
 		Node &n = nodes[(size_t)i];
@@ -429,12 +450,15 @@
 			    fp_rate_share_take_reserve(&n.share, &n.validity,
 						       now_us) == FP_OK)
 				admit();
+			else if (patience_us)
+				n.queue.push_back(t);
 			else if (n.standalone)
 				take_from_share(n, now_us);
 			else
 				waiting++;
 		}
-		request_tokens(i, waiting);
+		serve_queue(n);
+		request_tokens(i, waiting + (uint32_t)n.queue.size());
 		while (n.requested_from >= 0 &&
 		       fp_grants_take_surplus(n.grants, now_us, &back.grant_id,
 					      &back.tokens) == FP_OK)
@@ -486,16 +510,43 @@
       public:
 	/* worst: most admissions in a window; total: all admissions */
 	int64_t rate_per_s, burst, worst = 0, total = 0;
+	/* how long a request waits for a token; 0: it is refused at once */
+	int64_t patience_us = 0;
 	std::deque<int64_t> admitted; /* times in the current window */
 
 	Simulation(uint64_t seed, const Rules &r) : rules(r), rng(seed)
 	{
 		int n = (int)rng.range(3, 8);
-		double each;
 
 		phases = seed % 2 == 0;
 		rate_per_s = rng.range(100, 400);
 		burst = rng.range(rate_per_s / 2, rate_per_s);
+		make_nodes(n);
+	}
+	/* A fleet without random faults until run() is told otherwise. */
+	Simulation(uint64_t seed, int n, int64_t rate)
+	    : rng(seed), phases(false), rate_per_s(rate), burst(rate)
+	{
+		make_nodes(n);
+	}
+	/* Kills all nodes for down_us, and runs on for length_us. */
+	void kill_all(int64_t down_us, int64_t length_us, double demand)
+	{
+		for (auto &n : nodes) {
+			end(n);
+			n.paused_until_us = t + down_us;
+			n.owed = rng.unit(); /* arrivals out of step */
+			n.demand_per_s = demand * (double)rate_per_s /
+					 (double)nodes.size();
+		}
+		run(t + length_us, true, t);
+	}
+
+      private:
+	void make_nodes(int n)
+	{
+		double each;
+
 		nodes.resize((size_t)n);
 		cut_until.assign((size_t)n, std::vector<int64_t>((size_t)n));
 		slow_until = cut_until;
@@ -513,6 +564,8 @@
 			start(m);
 		}
 	}
+
+      public:
 	~Simulation()
 	{
 		for (auto &n : nodes)
@@ -520,9 +573,9 @@
 				end(n);
 	}
 
-	void run(int64_t length_us, bool no_faults = false)
+	void run(int64_t until_us, bool no_faults = false, int64_t from_us = 0)
 	{
-		for (t = 0; t < length_us; t += STEP_US) {
+		for (t = from_us; t < until_us; t += STEP_US) {
 			if (!no_faults && t > 10 * SECOND && rng.chance(8))
 				inject_fault();
 			if (!no_faults && phases && rng.chance(3))
--- a/test/test_msg_shared.cc
+++ b/test/test_msg_shared.cc
@@ -86,9 +86,8 @@
 		break;
 	case FP_MSG_RATE_SHARE_COMMIT:
 		strcpy(m.share_commit.org, "parish-7");
-		m.share_commit.commitment = {
-			500000, true, 33, 17, 1234567, 89
-		};
+		m.share_commit.commitment = { 500000,  true, 33,    17,
+					      1234567, 89,   250000 };
 		break;
 	case FP_MSG_RATE_SHARE_RESPONSE:
 		strcpy(m.share_response.org, "parish-7");
@@ -292,6 +291,13 @@
 	m = sample(FP_MSG_RATE_SHARE_COMMIT);
 	m.share_commit.commitment.hold_us = FP_RATE_SHARE_MAX_SPAN_US + 1;
 	encode(m, FP_INVALID);
+	m = sample(FP_MSG_RATE_SHARE_COMMIT);
+	m.share_commit.commitment.reserve_micro =
+		UINT32_MAX * FP_RATE_SHARE_HOLD_US + 1;
+	encode(m, FP_INVALID);
+	m = sample(FP_MSG_RATE_SHARE_COMMIT);
+	m.share_commit.commitment.hold_us = 0; /* a probe */
+	encode(m, FP_INVALID);
 	m = sample(FP_MSG_BUCKET_HANDOVER);
 	m.bucket_handover.state.outstanding_left_us = FP_BUCKET_MAX_SPAN_US + 1;
 	encode(m, FP_INVALID);
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -14,7 +14,7 @@
 {
 	static int64_t sent_us = 0;
 
-	return { hold_us, false, ++sent_us, n_shares, clock_us, age_us };
+	return { hold_us, false, ++sent_us, n_shares, clock_us, age_us, 0 };
 }
 
 fp_pool_view read(fp_pool *p, int64_t now_us)
@@ -163,4 +163,72 @@
 	EXPECT_GE(after, 99u);
 }
 
+/* Each of 100 nodes brings half a token; the bucket is empty. */
+TEST_F(Pool, GrantsTheSumOfTheReservesOnceAndOnlyForAWhile)
+{
+	int64_t us = SECOND + 1;
+	uint32_t n;
+
+	for (uint64_t id = 1; id <= 100; id++) {
+		fp_commitment c = commitment(100, SECOND);
+
+		c.reserve_micro = 500000;
+		commit(id, us, c);
+		commit(id, us, c); /* a message that arrives twice */
+	}
+	EXPECT_EQ(FP_OK, grant(30, us, &n));
+	EXPECT_EQ(30u, n);
+	EXPECT_EQ(FP_OK, grant(30, us, &n));
+	EXPECT_EQ(20u, n);
+	EXPECT_EQ(FP_EXHAUSTED, grant(1, us, &n));
+	for (uint64_t id = 1; id <= 100; id++) {
+		fp_commitment c = commitment(100, SECOND);
+
+		c.reserve_micro = 500000;
+		commit(id, us, c);
+	}
+	/* By then the commitments have ended, so the rate is that of one
+	 * node. */
+	us += FP_RATE_SHARE_RESERVE_US;
+	commit(1, us, commitment(100, us));
+	EXPECT_EQ(FP_EXHAUSTED, grant(60, us, &n));
+}
+
+/* Nodes that assume too few members bring no more than all shares earn in the
+ * time of a hold. */
+TEST_F(Pool, ReservesAreLimitedToTheWholeRate)
+{
+	uint32_t n;
+
+	for (uint64_t id = 1; id <= 10; id++) {
+		fp_commitment c = commitment(2, SECOND);
+
+		c.reserve_micro = 25000000;
+		commit(id, SECOND, c);
+	}
+	EXPECT_EQ(FP_OK, grant(1000, SECOND, &n));
+	EXPECT_EQ(50u, n);
+}
+
+/* The reserve that a lost node uses elsewhere is taken out of this bucket, also
+ * when it is less than a token. */
+TEST_F(Pool, RemovesTheSumOfReservesBelowAToken)
+{
+	int64_t us = SECOND;
+	uint32_t n;
+
+	fp_pool_set_rate(p, 10, 10, SECOND);
+	for (; us < 4 * SECOND; us += SECOND / 5)
+		for (uint64_t id = 1; id <= 20; id++)
+			commit(id, us, commitment(20, us));
+	EXPECT_EQ(1000u, read(p, us).fill_permille);
+	/* 10 of the 20 nodes are lost: 10 * 10 / s * 0.5 s / 20 = 2.5 tokens
+	 * leave with them. */
+	for (int i = 0; i < 5; i++, us += SECOND / 5)
+		for (uint64_t id = 1; id <= 10; id++)
+			commit(id, us, commitment(20, us));
+	EXPECT_EQ(FP_OK, grant(100, us, &n));
+	EXPECT_LE(n, 5u);
+}
+
 } // namespace
--- a/test/test_rate_share.cc
+++ b/test/test_rate_share.cc
@@ -170,6 +170,35 @@
 	EXPECT_EQ(12, take_reserve(&p, SECOND + FP_RATE_SHARE_HOLD_US));
 }
 
+TEST_F(RateShare, AnUnusedReserveGoesWithTheNextCommitment)
+{
+	int64_t end_us = SECOND + FP_RATE_SHARE_HOLD_US;
+	fp_commitment c;
+
+	probe_and_commit(5, SECOND, 900);
+	commit(6, end_us - 2);
+	fp_rate_share_handle_response(&p, 6, 88, 0, end_us - 1);
+	EXPECT_EQ(FP_OK, fp_rate_share_take_reserve(&p, &VALID, end_us));
+	c = commit(6, end_us);
+	EXPECT_EQ(FP_RATE_SHARE_HOLD_US, c.hold_us);
+	EXPECT_EQ(11500000, c.reserve_micro);
+	EXPECT_EQ(0, take_reserve(&p, end_us + 1));
+	fp_rate_share_handle_response(&p, 6, 89, 0, end_us + 2);
+	EXPECT_EQ(0, commit(6, end_us + 3).reserve_micro);
+}
+
+TEST_F(RateShare, AReserveThatHasLapsedIsNotCommitted)
+{
+	int64_t end_us = SECOND + FP_RATE_SHARE_HOLD_US;
+
+	probe_and_commit(5, SECOND, 900);
+	EXPECT_EQ(FP_OK, fp_rate_share_take_reserve(&p, &VALID, end_us));
+	commit(6, end_us);
+	fp_rate_share_handle_response(&p, 6, 88, 0, end_us);
+	EXPECT_EQ(0,
+		  commit(6, end_us + FP_RATE_SHARE_RESERVE_US).reserve_micro);
+}
+
 TEST_F(RateShare, NoReserveForAnEmptyBucketOrAfterARelease)
 {
 	probe_and_commit(5, SECOND, 0);
--- a/test/test_rate_shares.cc
+++ b/test/test_rate_shares.cc
@@ -66,6 +66,28 @@
 	}
 }
 
+/* All of 40 nodes are killed for a second, then callers repeat what failed: 1.5
+ * of the rate. Shares may be learned within 0.5 s, and the reserves cover that
+ * time, also where the part of one node is less than a token: in the two seconds
+ * after the start the organisation gets its rate. */
+TEST(RateShares, AFleetThatStartsAgainGivesTheRateAtOnce)
+{
+	for (int64_t rate : { 20, 60, 400 }) {
+		for (uint64_t seed = 1; seed <= 20; seed++) {
+			Simulation sim(seed, 40, rate);
+			int64_t before;
+
+			sim.patience_us = SECOND / 2;
+			sim.run(12 * SECOND, true);
+			before = sim.total;
+			sim.kill_all(SECOND, 3 * SECOND, 1.5);
+			EXPECT_GE(sim.total - before, rate * 2)
+				<< "rate " << rate << " seed " << seed;
+			EXPECT_LE(sim.worst, sim.allowed()) << "seed " << seed;
+		}
+	}
+}
+
 /* The rule that a hold counts from the sending of the commitment has its own
  * test in test_pool: without it, the excess in these schedules stays within the
  * allowance. */
