Each node learns how fast its server runs, and calls go where they end soonest

Servers of one service differ in speed, and some slow down before their slots are full; draws went by announced slots, and the limit moved on refusals and late runs only.

The node beside a server learns its own time by route, without nested calls, the effect of the number running, and the momentary slowness that the server reports. The number of requests that it takes well stands for its slots at admission, and the speed goes out on each answer. Entries weigh draws by slots and pace and compare load and pace. Setting overload.learn_servers = "off" takes servers to be equal.

--- a/src/node/call.c
+++ b/src/node/call.c
@@ -155,8 +155,12 @@
 static void call_free(struct call *c)
 {
 	struct fp_traffic *t = c->t;
+	struct execution *parent =
+		c->msg.nested ? execution_find(t, c->parent_id) : NULL;
 	uint32_t i;
 
+	if (parent)
+		speed_nested_ended(parent);
 	clear_attempt(c);
 	tokens_cancel_wait(c);
 	fp_timer_cancel(t->loop, &c->deadline_timer);
@@ -595,6 +599,8 @@
 	}
 	fp_balancer_call_ended(t->balancer, c->worker, balancer_result(r),
 			       now_us - c->sent_us, &r->admission_load, now_us);
+	fp_balancer_note_speed(t->balancer, c->worker, c->msg.route, &r->speed,
+			       now_us);
 	add_calls_to_parent(c, r);
 	limits_update_loads(c, r);
 	fp_attempt_budget_return(&c->attempt_budget,
--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -275,6 +275,7 @@
 	memcpy(c->msg.org, ctx.org, sizeof(c->msg.org));
 	memcpy(c->msg.root, ctx.root, sizeof(c->msg.root));
 	memcpy(c->parent_id, ctx.call_id, sizeof(c->parent_id));
+	speed_nested_began(parent);
 	c->org_index = UINT32_MAX;
 	set_deadline(c, r, ctx.deadline_us);
 	memcpy(c->msg.caller, t->settings->service, sizeof(c->msg.caller));
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -123,6 +123,7 @@
 		return;
 	r->corr = e->msg.corr;
 	fp_admission_read_load(t->admission, &r->admission_load);
+	speed_read(e, &r->speed);
 	put_service_loads(e, r);
 	r->attempts_unused = e->attempt_budget.left;
 	if (!e->link) {
@@ -281,6 +282,8 @@
 	e->send = NULL;
 	r.run_us = fp_loop_now_us(t->loop) - e->sent_us;
 	backend_read_result(t, res, &r);
+	speed_note_answer(t, res);
+	speed_run_ended(e, r.outcome == FP_OUTCOME_RAN && r.http_status < 500);
 	if (r.reason != FP_REASON_NONE || r.http_status >= 500)
 		log_failure(e, r.outcome, r.reason, r.run_us);
 	if (r.reason == FP_REASON_CUT || r.reason == FP_REASON_NO_WORKER)
@@ -349,8 +352,10 @@
 	}
 	backend_url(t, e->msg.uri, url, sizeof(url));
 	fp_counter_add(t->metrics.executions, 1);
+	speed_run_started(e);
 	if (fp_http_send(t->client, &o, on_backend_done, e, &e->send) == FP_OK)
 		return;
+	speed_run_ended(e, false);
 	release_slot(e, false);
 	refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_MALFORMED);
 }
@@ -435,6 +440,8 @@
 	p.max_queued = p.off ? MAX_QUEUED_OFF : p.slots * QUEUED_PER_SLOT;
 	if (p.max_queued < MIN_QUEUED)
 		p.max_queued = MIN_QUEUED;
+	if (t->places && t->places < p.slots)
+		p.slots = t->places;
 	return p;
 }
 
@@ -463,6 +470,8 @@
 
 void execution_tick(struct fp_traffic *t, int64_t now_us)
 {
+	if (speed_update_places(t, now_us))
+		execution_update_params(t);
 	fp_admission_tick(t->admission, now_us);
 	execution_apply_decisions(t);
 }
@@ -552,6 +561,7 @@
 	if (e->send) {
 		fp_http_cancel(e->send);
 		e->send = NULL;
+		speed_run_ended(e, false);
 		backend_cancel(e);
 	}
 	if (e->running)
--- a/src/node/execution_private.h
+++ b/src/node/execution_private.h
@@ -31,6 +31,12 @@
 	bool running; /* admission started it; it holds a slot */
 	int64_t deadline_us;
 	int64_t sent_us; /* when it was sent to the backend server */
+	/* for the model of the worker's speed */
+	struct fp_worker_run run;
+	bool in_model; /* run is set */
+	uint32_t n_nested; /* nested calls that are open */
+	int64_t nested_since_us; /* since when there are any */
+	int64_t inner_us; /* time in which there were any, before that */
 	struct fp_http_send *send; /* request to the backend server, or NULL */
 	/* services that the subtree of this call reached; only name and calls
 	 * are set */
@@ -40,6 +46,20 @@
 	uint32_t n_failed; /* failures recorded so far; may exceed MAX_FAILED */
 };
 
+/* --- speed.c --- */
+
+/** Records that an execution was sent to the worker at sent_us. */
+void speed_run_started(struct execution *e);
+/** Records that it ended; complete: the worker ran it to its end. Does nothing
+ *  if it was not sent. */
+void speed_run_ended(struct execution *e, bool complete);
+/** Reads the load that an answer of the worker tells. */
+void speed_note_answer(struct fp_traffic *t, const struct fp_http_result *res);
+/** Reads what is known for the route of an execution. */
+void speed_read(const struct execution *e, struct fp_worker_speed *speed);
+/** Updates the number of places; returns whether it changed. */
+bool speed_update_places(struct fp_traffic *t, int64_t now_us);
+
 /* --- backend_call.c --- */
 
 /** Sets outcome, reason and content of a reply from an HTTP result. */
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -314,6 +314,7 @@
 	claim_init(t);
 	st = fp_loop_init(clock, &t->loop);
 	if (st == FP_OK) {
+		speed_init(t);
 		execution_init(t);
 		st = fp_http_client_init(t->loop, MAX_IDLE_BACKEND, &t->client);
 	}
@@ -379,6 +380,7 @@
 	owner_end(t);
 	claim_shutdown(t);
 	fp_admission_end(t->admission);
+	speed_end(t);
 	free(t->decisions);
 	fp_run_times_end(t->call_times);
 	fp_run_times_end(t->execution_times);
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -17,6 +17,7 @@
 #include "state/poison.h"
 #include "state/run_times.h"
 #include "state/slo.h"
+#include "state/worker_model.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/loop.h"
@@ -57,6 +58,8 @@
 	struct fp_counter *executions; /* sent to the backend server */
 	struct fp_counter *in_flight; /* calls without a response yet */
 	struct fp_counter *config_revision; /* in force here */
+	struct fp_counter *places; /* learned, of the backend server */
+	struct fp_counter *rate; /* requests a second that it takes well */
 	struct fp_histogram *added_us; /* total minus the backend's time */
 	struct fp_histogram *total_us;
 };
@@ -122,6 +125,8 @@
 	struct fp_share_validity share_validity;
 	struct fp_clock *clock;
 	struct fp_worker worker;
+	struct fp_worker_model *worker_model; /* its speed */
+	uint32_t places; /* learned limit of its slots; 0: none */
 	int64_t announced_us; /* arrival of the last announcement */
 	struct fp_timer tick;
 	struct fp_run_times *call_times; /* of calls, from their arrival */
@@ -241,6 +246,16 @@
 bool drain_can_finish_execution(const struct fp_traffic *t, const char *route,
 				int64_t deadline_us);
 
+/* --- speed.c: the speed of this node's backend server --- */
+
+void speed_init(struct fp_traffic *t);
+/** The backend server is another process: forgets what was learned. */
+void speed_reset(struct fp_traffic *t);
+/** Records that an execution made a nested call, and that the call ended. */
+void speed_nested_began(struct execution *parent);
+void speed_nested_ended(struct execution *parent);
+void speed_end(struct fp_traffic *t);
+
 /* --- slo_node.c: service levels --- */
 
 void slo_init(struct fp_traffic *t);
--- a/src/node/worker.c
+++ b/src/node/worker.c
@@ -143,6 +143,8 @@
 	} else if (crashed(t, a)) {
 		report_crash(t, t->worker.instance);
 	}
+	if (is_other_start(&t->worker, a))
+		speed_reset(t);
 	/* Computed at the first announcement of a start only: a value computed
 	 * at each one would change the membership record every time. */
 	if (!is_other_start(&t->worker, a))
--- a/src/protocol/msg_call.c
+++ b/src/protocol/msg_call.c
@@ -6,9 +6,10 @@
 #include <strings.h>
 
 #define CALL_FIELDS	    20
-#define REPLY_FIELDS	    11
+#define REPLY_FIELDS	    12
 #define CANCEL_FIELDS	    2
 #define LOAD_FIELDS	    (4 + FP_SHED_RANK_COUNT)
+#define SPEED_FIELDS	    5
 #define SERVICE_LOAD_FIELDS (4 + FP_SHED_RANK_COUNT)
 
 /* Longest name and value of a header, with NUL. */
@@ -77,6 +78,16 @@
 		msgpack_pack_uint16(pk, l->refused_permille[i]);
 }
 
+static void put_speed(msgpack_packer *pk, const struct fp_worker_speed *s)
+{
+	msgpack_pack_array(pk, SPEED_FIELDS);
+	msgpack_pack_uint32(pk, s->own_us);
+	msgpack_pack_uint32(pk, s->inner_us);
+	msgpack_pack_uint16(pk, s->percent);
+	msgpack_pack_uint32(pk, s->rate_per_s);
+	msgpack_pack_uint32(pk, s->age_ms);
+}
+
 static void put_service_load(msgpack_packer *pk,
 			     const struct fp_service_load *t)
 {
@@ -109,6 +120,7 @@
 	for (i = 0; i < m->n_service_loads; i++)
 		put_service_load(&pk, &m->service_loads[i]);
 	put_load(&pk, &m->admission_load);
+	put_speed(&pk, &m->speed);
 	put_content(&pk, &m->content);
 }
 
@@ -243,6 +255,17 @@
 		l->refused_permille[i] = (uint16_t)fp_read_u64(r, 1000);
 }
 
+static void read_speed(struct fp_reader *r, struct fp_worker_speed *s)
+{
+	if (fp_read_array(r, SPEED_FIELDS) != SPEED_FIELDS)
+		r->bad = true;
+	s->own_us = (uint32_t)fp_read_u64(r, UINT32_MAX);
+	s->inner_us = (uint32_t)fp_read_u64(r, UINT32_MAX);
+	s->percent = (uint16_t)fp_read_u64(r, FP_WORK_PERCENT_MAX);
+	s->rate_per_s = (uint32_t)fp_read_u64(r, UINT32_MAX);
+	s->age_ms = (uint32_t)fp_read_u64(r, UINT32_MAX);
+}
+
 enum fp_status fp_msg_reply_decode(const uint8_t *data, size_t bytes,
 				   struct fp_msg_reply *m,
 				   struct fp_msg_memory *mem)
@@ -260,6 +283,7 @@
 	m->attempts_unused = (uint32_t)fp_read_u64(&r, UINT32_MAX);
 	read_service_loads(&r, m);
 	read_load(&r, &m->admission_load);
+	read_speed(&r, &m->speed);
 	read_content(&r, &m->content, mem);
 	return close_message(&r, "reply", mem);
 }
--- a/src/protocol/msg_call.h
+++ b/src/protocol/msg_call.h
@@ -9,6 +9,7 @@
 #include "base/status.h"
 #include "protocol/pack.h"
 #include "state/admission.h"
+#include "state/worker_model.h"
 #include "state/early_shed.h"
 #include "state/types.h"
 
@@ -81,6 +82,8 @@
 	uint32_t n_service_loads;
 	struct fp_admission_load
 		admission_load; /**< admission load of the exit node */
+	/** what the exit node knows of its worker's speed, for this route */
+	struct fp_worker_speed speed;
 	struct fp_msg_content content;
 };
 
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -74,6 +74,8 @@
 	/* [overload] */
 	bool overload_off; /**< mode = "off": no overload control, as a baseline
 			    *   for comparisons */
+	bool equal_servers; /**< learn_servers = "off": the servers of a service
+			     *   are taken to be equal, but for their slots */
 
 	/* [bounds] */
 	int64_t revoke_us; /**< longest time a withdrawn key is accepted */
--- a/src/state/balancer.c
+++ b/src/state/balancer.c
@@ -9,6 +9,15 @@
  * and they avoid that all nodes send to the worker that looked best a moment
  * ago.
  *
+ * Speed. Each answer tells how long runs of its route usually take at that
+ * worker, learned by the node beside it from all of its requests. Divided by
+ * the mean over the workers of the service that is the worker's pace, and two
+ * workers are compared by load and pace: by when the call would end. Routes are
+ * kept apart, so that a worker with longer requests is not taken for a slow
+ * one. The weights of the draw are the slots, most of them divided by the pace:
+ * the rest keeps news coming from a worker that was slow. News lose weight with
+ * their age, and small differences count as none.
+ *
  * The pair is drawn among the workers of this node's failure domain first. A
  * pair from other domains is drawn only if the local worker is busy, and its
  * winner is taken only if the local one is noticeably more loaded.
@@ -29,16 +38,19 @@
  */
 #include "state/balancer.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "state/admission.h"
+#include "state/worker_model.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
 /* Memory limits. */
 #define MAX_WORKERS 2048 /* workers of all services */
+#define ROUTES	    512 /* routes with a mean run time; a table without chains */
 
 /* Tuning. */
 #define SUBSET	     32 /* workers of a service that are used */
@@ -62,6 +74,20 @@
 #define STALL_FACTOR	8 /* ... or this many mean latencies, if longer */
 #define LOAD_VALID_US	2000000 /* validity of an advertised queue length */
 #define LATENCY_WEIGHT	8 /* smoothing of the latency, in answers */
+#define ROUTE_WEIGHT	128 /* smoothing of a route's mean, in answers */
+#define PACE_WEIGHT	2 /* smoothing of a pace, in answers */
+/* share of the weights that does not follow the pace */
+#define SLOT_SHARE 0.25
+/* a pace that is closer to 1 than this factor counts as 1: the deviation of a
+ * mean of 32 run times that vary by a factor of two ... */
+#define PACE_EQUAL	 1.12
+#define PACE_DIFFERENT	 1.25 /* ... and counts in full from this one */
+#define PACE_MAX	 8.0
+#define PACE_VALID_US	 5000000 /* a pace loses weight after this time ... */
+#define PACE_FADE_US	 5000000 /* ... and is forgotten after this one more */
+#define PERCENT_VALID_US 200000 /* validity of a momentary slowness */
+/* time of a run, in the unit of the load: the wait of a full worker */
+#define RUN_LOAD 0.5
 
 struct worker {
 	struct fp_balancer_worker info;
@@ -77,15 +103,29 @@
 	uint32_t limit; /* advertised */
 	uint32_t queued; /* advertised */
 	int64_t load_us; /* time of the advertised values */
+	double pace; /* logarithm of its run time over the service's mean */
+	int64_t pace_us; /* time of the news; 0: none */
+	uint32_t percent; /* momentary run time, percent of the usual */
+	int64_t percent_us; /* time of that news; 0: none */
 	int64_t ejected_until_us; /* 0: not ejected */
 	int64_t ejection_us; /* length of the last ejection; 0: none */
 };
 
+/* Mean run time of a route over the workers of its service. */
+struct route_mean {
+	uint64_t hash; /* of service and route */
+	double own; /* logarithm of the mean, without nested calls */
+	double inner_us; /* in nested calls */
+	uint32_t n; /* answers, up to ROUTE_WEIGHT */
+};
+
 struct fp_balancer {
 	char failure_domain[FP_NAME_BYTES];
 	char region[FP_NAME_BYTES];
 	uint64_t self;
 	bool off;
+	bool learning;
+	struct route_mean routes[ROUTES];
 	int64_t now_us; /* latest time passed in */
 	uint32_t n_workers;
 	/* grouped by service, then in order of arrival */
@@ -122,6 +162,7 @@
 	strncpy(b->failure_domain, failure_domain, FP_NAME_BYTES - 1);
 	strncpy(b->region, region, FP_NAME_BYTES - 1);
 	b->off = off;
+	b->learning = true;
 	return b;
 }
 
@@ -130,6 +171,11 @@
 	free(b);
 }
 
+void fp_balancer_set_learning(struct fp_balancer *b, bool learning)
+{
+	b->learning = learning;
+}
+
 /* ---- table and subset ---- */
 
 static struct worker *find_worker(struct fp_balancer *b, uint64_t id)
@@ -295,6 +341,43 @@
 	       FAIL_LOAD * w->failed + w->refused;
 }
 
+/* Logarithm of the pace that a difference of the means counts as. */
+static double significant(double pace)
+{
+	double equal = log(PACE_EQUAL);
+	double different = log(PACE_DIFFERENT);
+	double size = fabs(pace);
+
+	if (size <= equal)
+		return 0;
+	if (size >= different)
+		return pace;
+	return pace * (size - equal) / (different - equal);
+}
+
+/* Run time at a worker over the mean of its service, as far as it is known. */
+static double pace_of(const struct fp_balancer *b, const struct worker *w,
+		      int64_t now_us)
+{
+	int64_t old_us = now_us - w->pace_us - PACE_VALID_US;
+	double pace = w->pace;
+
+	if (!b->learning || !w->pace_us || old_us >= PACE_FADE_US)
+		return 1;
+	if (old_us > 0)
+		pace *= 1 - (double)old_us / PACE_FADE_US;
+	if (w->percent_us && now_us - w->percent_us <= PERCENT_VALID_US)
+		pace += log(w->percent / 100.0);
+	return exp(significant(pace));
+}
+
+/* When a call would end at a worker, in run times of its service. */
+static double end_of(const struct fp_balancer *b, const struct worker *w,
+		     int64_t now_us)
+{
+	return pace_of(b, w, now_us) * (RUN_LOAD + load_of(w, now_us));
+}
+
 static bool is_stalled(const struct worker *w, int64_t now_us)
 {
 	int64_t longest = STALL_FACTOR * w->latency_us;
@@ -373,8 +456,10 @@
 static void group_add(const struct pick *p, struct group *group,
 		      struct worker *w)
 {
-	double weight = (w->info.slots ? w->info.slots : 1) *
-			warm_fraction(w, p->now_us);
+	double weight =
+		(w->info.slots ? w->info.slots : 1) *
+		warm_fraction(w, p->now_us) *
+		(SLOT_SHARE + (1 - SLOT_SHARE) / pace_of(p->b, w, p->now_us));
 
 	if (group->n == SUBSET)
 		return;
@@ -398,7 +483,8 @@
 	return group->workers[i];
 }
 
-/* Returns the less loaded one of two draws; NULL for an empty group. */
+/* Returns that of two draws where the call ends sooner; NULL for an empty
+ * group. */
 static struct worker *draw_two(struct pick *p, const struct group *group)
 {
 	struct worker *one;
@@ -408,8 +494,9 @@
 		return NULL;
 	one = draw_one(p, group);
 	other = draw_one(p, group);
-	return load_of(other, p->now_us) < load_of(one, p->now_us) ? other :
-								     one;
+	return end_of(p->b, other, p->now_us) < end_of(p->b, one, p->now_us) ?
+		       other :
+		       one;
 }
 
 static struct worker *choose_local_or_remote(struct pick *p,
@@ -582,3 +669,50 @@
 		w->last_answer_us = now_us;
 	update_health(b, w, result, latency_us, now_us);
 }
+
+/* ---- speeds ---- */
+
+static struct route_mean *find_route(struct fp_balancer *b, const char *service,
+				     const char *route)
+{
+	uint64_t hash =
+		XXH64(route, strlen(route), XXH64(service, strlen(service), 0));
+	struct route_mean *r = &b->routes[hash % ROUTES];
+
+	if (r->hash != hash) {
+		memset(r, 0, sizeof(*r));
+		r->hash = hash;
+	}
+	return r;
+}
+
+void fp_balancer_note_speed(struct fp_balancer *b, uint64_t id,
+			    const char *route,
+			    const struct fp_worker_speed *speed, int64_t now_us)
+{
+	struct worker *w = find_worker(b, id);
+	struct route_mean *r;
+	double own;
+	double pace;
+
+	if (!w || !speed->own_us)
+		return;
+	r = find_route(b, w->info.service, route);
+	own = log(speed->own_us);
+	if (r->n < ROUTE_WEIGHT)
+		r->n++;
+	r->own += (own - r->own) / r->n;
+	r->inner_us += (speed->inner_us - r->inner_us) / r->n;
+	pace = log((speed->own_us + r->inner_us) / (exp(r->own) + r->inner_us));
+	if (pace > log(PACE_MAX))
+		pace = log(PACE_MAX);
+	if (pace < -log(PACE_MAX))
+		pace = -log(PACE_MAX);
+	if (!w->pace_us || now_us - w->pace_us > PACE_VALID_US)
+		w->pace = pace;
+	else
+		w->pace += (pace - w->pace) / PACE_WEIGHT;
+	w->pace_us = now_us;
+	w->percent = speed->percent;
+	w->percent_us = speed->percent ? now_us : 0;
+}
--- a/src/state/balancer.h
+++ b/src/state/balancer.h
@@ -46,14 +46,17 @@
 				      const struct fp_balancer_worker *w,
 				      int64_t now_us);
 void fp_balancer_remove_worker(struct fp_balancer *b, uint64_t id);
+/** Whether the choice follows the learned speeds of the workers (default), or
+ * takes them to be equal. */
+void fp_balancer_set_learning(struct fp_balancer *b, bool learning);
 
 /**
  * Picks the better one of two randomly drawn workers.
  *
  * A worker is better with a lower load (this node's calls in flight plus the
- * advertised queue, over the advertised limit), in this node's failure domain,
- * not suspected and without recent failures. The weight of a cold worker grows
- * linearly during its warm-up. A worker that fails its calls receives only
+ * advertised queue, over the advertised limit, times its learned run time), in
+ * this node's failure domain, not suspected and without recent failures. The
+ * weight of a cold worker grows linearly during its warm-up. A worker that fails its calls receives only
  * occasional probes, whatever its health endpoints report.
  *
  * @param avoid  ids that must not be picked (already tried)
@@ -76,6 +79,7 @@
 };
 
 struct fp_admission_load;
+struct fp_worker_speed;
 
 /** Records the result of a sent call and the load that the worker advertised
  * with it (NULL: none). */
@@ -83,6 +87,12 @@
 			    enum fp_balancer_result result, int64_t latency_us,
 			    const struct fp_admission_load *load,
 			    int64_t now_us);
+/** Records what an answer tells of the speed of its worker, for the route of
+ * the call. */
+void fp_balancer_note_speed(struct fp_balancer *b, uint64_t id,
+			    const char *route,
+			    const struct fp_worker_speed *speed,
+			    int64_t now_us);
 void fp_balancer_end(struct fp_balancer *b);
 
 #ifdef __cplusplus
