--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -316,6 +316,7 @@
 	st = fp_loop_init(clock, &t->loop);
 	if (st == FP_OK) {
 		cold_init(t);
+		speed_init(t);
 		execution_init(t);
 		st = fp_http_client_init(t->loop, MAX_IDLE_BACKEND, &t->client);
 	}
@@ -382,6 +383,7 @@
 	claim_shutdown(t);
 	fp_admission_end(t->admission);
 	cold_end(t);
+	speed_end(t);
 	free(t->decisions);
 	fp_run_times_end(t->call_times);
 	fp_run_times_end(t->execution_times);
