End-to-end tests of both decisions on an evacuation: entry and exit

Each decision hides the lack of the other: an entry that picks no evacuated worker sends nothing that an exit would turn back. Two cases keep one side from knowing. Without the exit's decision AnEntryThatDoesNotKnowIsTurnedBack fails, without the entry's AnEvacuatedDomainGetsNoRequests; both pass with them.

--- a/test/test_e2e_places.cc
+++ b/test/test_e2e_places.cc
@@ -94,8 +94,11 @@
 	platform_store_write(store, "op/evacuate/d0", "{}");
 	usleep(evacuation_ms * 1000);
 	int before = runs(1);
+	int turned_back = count(*machines[1], "reason=stopping");
 	send_for_ms(1000, 2, &after);
 	EXPECT_EQ(after.n, after.n_ok);
+	/* The entry does not even try. */
+	EXPECT_EQ(turned_back, count(*machines[1], "reason=stopping"));
 	EXPECT_EQ(before, runs(1));
 	EXPECT_TRUE(log_has(*machines[1], "event=evacuation_seen domain=d0"));
 	platform_store_write(store, "op/evacuate/d1", "{}");
@@ -112,6 +115,28 @@
 	EXPECT_EQ(0, runs(1) + runs(2) - all - (runs(1) - before));
 }
 
+/* An entry node that the store refuses does not know of the evacuation. The
+ * node beside the server does, and turns its requests back, not run, so that
+ * they run elsewhere. */
+TEST_F(Places, AnEntryThatDoesNotKnowIsTurnedBack)
+{
+	Sent sent;
+
+	start();
+	platform_endpoint_set_fault(machines[0]->store_endpoint,
+				    PLATFORM_UNAVAILABLE);
+	platform_store_write(store, "op/evacuate/d0", "{}");
+	ASSERT_TRUE(wait([&] {
+		return log_has(*machines[1], "event=evacuation_seen");
+	}));
+	int before = runs(1);
+	send_for_ms(1000, 2, &sent);
+	EXPECT_EQ(sent.n, sent.n_ok);
+	EXPECT_EQ(before, runs(1));
+	EXPECT_FALSE(log_has(*machines[0], "event=evacuation_seen"));
+	EXPECT_TRUE(log_has(*machines[1], "reason=stopping"));
+}
+
 /* A cold server is sent its rate, not more and not none, also while the entry
  * sheds for it; the rest is refused at once. Afterwards it gets all. */
 TEST_F(Places, AColdServerGetsItsRate)
