--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -124,17 +124,17 @@
 	struct fp_clock *clock;
 	struct fp_worker worker;
 	int64_t announced_us; /* arrival of the last announcement */
-	bool announcement_late; /* the next one has failed to come */
 	struct fp_cold_rate *cold; /* pace of the worker's starts */
-	bool worker_cold; /* as last logged */
 	struct fp_counter *cold_starts; /* while the worker was cold */
 	struct fp_counter *cold_left_ms;
 	struct fp_evacuation evacuation;
-	bool evacuated; /* this node's own domain is */
 	struct fp_counter *evacuated_domains;
 	struct fp_timer tick;
 	struct fp_run_times *call_times; /* of calls, from their arrival */
 	struct fp_run_times *execution_times; /* at the worker of this node */
+	bool announcement_late; /* the worker's next one has failed to come */
+	bool worker_cold; /* as last logged */
+	bool evacuated; /* this node's own domain is */
 	bool draining;
 	bool worker_withdrawn; /* the worker gets no new work: the node stops */
 	bool drained_reported; /* the drained hook was called */
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -65,8 +65,6 @@
 	 *  misdirected_not_run, otherwise only if "1" with status 503 */
 	const char *not_run;
 	const char *backend_load; /**< from the server: its load */
-	const char *cold_ms; /**< from the server, on health checks: how long it
-			      *   stays cold, milliseconds */
 	const char *cancel_path; /**< posted to the server to cancel a call;
 				  *   NULL: the connection is closed instead */
 	const char *ready_path; /**< path of the readiness probe */
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -264,6 +264,71 @@
 	fp_config_end(c);
 }
 
+/* Uploads are not run twice, whatever else the record says of them. */
+TEST(Record, AnUploadIsNotIdempotent)
+{
+	std::string text = record_with("\"safe\"", "\"upload\"");
+	struct fp_config *c = nullptr;
+
+	ASSERT_EQ(FP_OK, platform_config(text.data(), text.size(), &c));
+	const struct fp_route *r =
+		fp_config_find_route(c, "h.example", "GET", "/a/x");
+	EXPECT_FALSE(r->idempotent);
+	EXPECT_TRUE(r->without_claim);
+	fp_config_end(c);
+}
+
+TEST(Record, ColdRatesOfServices)
+{
+	std::string text = record_with(
+		"\"services\":{}",
+		"\"services\":{\"s1\":{\"healthPath\":\"/health\","
+		"\"maxConnections\":622,\"coldStart\":\"3s\","
+		"\"coldPerS\":11.5},\"s2\":{\"coldPerS\":0.4},\"s3\":{}}");
+	struct fp_config *c = nullptr;
+
+	ASSERT_EQ(FP_OK, platform_config(text.data(), text.size(), &c));
+	EXPECT_TRUE(fp_config_has_cold_rate(c));
+	struct fp_config *copy = fp_config_copy(c);
+	fp_config_end(c);
+	const struct fp_service *s = fp_config_find_service(copy, "s1");
+	ASSERT_NE(nullptr, s);
+	EXPECT_STREQ("/health", s->health_path);
+	EXPECT_EQ(11u, s->cold_per_s);
+	EXPECT_EQ(3000u, s->cold_ms);
+	EXPECT_EQ(1u, fp_config_find_service(copy, "s2")->cold_per_s);
+	EXPECT_EQ(0u, fp_config_find_service(copy, "s3")->cold_per_s);
+	EXPECT_EQ(nullptr, fp_config_find_service(copy, "s4"));
+	fp_config_end(copy);
+	ASSERT_EQ(FP_OK, platform_config(record.data(), record.size(), &c));
+	EXPECT_FALSE(fp_config_has_cold_rate(c));
+	fp_config_end(c);
+}
+
+/* Homes name regions. All nodes of a fleet are in one region, so a request
+ * cannot reach a worker in another: the field changes nothing. */
+TEST(Record, HomesHaveNoEffect)
+{
+	std::string text =
+		record_with("\"kind\":\"safe\"", "\"allowedRegions\":[\"r1\"],"
+						 "\"kind\":\"safe\"");
+	struct fp_config *plain = nullptr;
+	struct fp_config *c = nullptr;
+
+	text.replace(text.find("\"apiKeys\""), 9,
+		     "\"allowedRegions\":[],\"apiKeys\"");
+	ASSERT_EQ(FP_OK, platform_config(record.data(), record.size(), &plain));
+	ASSERT_EQ(FP_OK, platform_config(text.data(), text.size(), &c));
+	ASSERT_EQ(plain->n_routes, c->n_routes);
+	EXPECT_EQ(0, memcmp(plain->routes, c->routes,
+			    c->n_routes * sizeof(*c->routes)));
+	ASSERT_EQ(plain->n_orgs, c->n_orgs);
+	EXPECT_EQ(0,
+		  memcmp(plain->orgs, c->orgs, c->n_orgs * sizeof(*c->orgs)));
+	fp_config_end(plain);
+	fp_config_end(c);
+}
+
 TEST(Record, WithoutOrganisationsNeedsNoKeys)
 {
 	std::string text = record.substr(0, record.find(",\"tenants\"")) + "}";
@@ -292,6 +357,14 @@
 		record_with("\"weight\":90", "\"weight\":-1"),
 		record_with("\"ratePerS\":160", "\"ratePerS\":\"160\""),
 		record_with("\"k1\"", "1"),
+		record_with("\"services\":{}",
+			    "\"services\":{\"s\":{\"coldPerS\":\"11\"}}"),
+		record_with("\"services\":{}",
+			    "\"services\":{\"s\":{\"coldPerS\":-1}}"),
+		record_with("\"services\":{}",
+			    "\"services\":{\"s\":{\"coldStart\":3}}"),
+		record_with("\"services\":{}",
+			    "\"services\":{\"s\":{\"healthPath\":3}}"),
 	};
 	struct fp_config *c = nullptr;
 
