--- a/src/node/cold.c
+++ b/src/node/cold.c
@@ -14,12 +14,17 @@
 /* Announcements come each 1.5 s. After one has failed to come, the worker may
  * have gone and come back cold. */
 #define ANNOUNCE_GAP_US (2500 * FP_US_PER_MS)
+/* Pace of a worker that says it is cold while no configuration is known here: a
+ * start each 0.25 s, which any worker bears. Others may send to it already. */
+#define UNKNOWN_PER_S 4
 
 void cold_init(struct fp_traffic *t)
 {
 	t->cold = fp_cold_rate_init();
 	if (!t->cold)
 		abort();
+	if (t->hosted)
+		fp_cold_rate_set(t->cold, UNKNOWN_PER_S, 0);
 	t->cold_starts =
 		fp_counter_get(t->counters, "fulmar_cold_starts_total", "");
 	t->evacuated_domains =
@@ -31,9 +36,7 @@
 void cold_update_config(struct fp_traffic *t)
 {
 	const struct fp_service *s =
-		t->config ? fp_config_find_service(t->config,
-						   t->settings->service) :
-			    NULL;
+		fp_config_find_service(t->config, t->settings->service);
 
 	fp_cold_rate_set(t->cold, s ? s->cold_per_s : 0,
 			 s ? s->cold_ms * FP_US_PER_MS : 0);
