A short commitment ends the long one of a node that was idle

A node without demand for an organisation commits its share for long: 10 s with 74 organisations. When demand began, its next commitments were for 0.5 s, and the owner counted them so, but the node itself went on with the end of the long one. Now the answer of the owner, if its clock shows that the commitment arrived in time, ends the long one at the node too.

test_rate_share has the rule's own cases.

--- a/src/state/pool.c
+++ b/src/state/pool.c
@@ -25,9 +25,6 @@
 #define NEW_SHARE_DIVISOR 8 /* a new share adds burst / this */
 /* id of grants out of reserves; no open grant of the bucket has it */
 #define RESERVE_GRANT_ID UINT64_MAX
-/* a time span of another clock is reduced by span / this, which exceeds the
- * maximum drift between clocks */
-#define DRIFT_DIVISOR 1000
 
 struct committed {
 	uint64_t node;
@@ -249,17 +246,16 @@
 void fp_pool_commit(struct fp_pool *p, uint64_t node,
 		    const struct fp_commitment *c, int64_t now_us)
 {
-	/* Never later than the actual sending, whatever the clock drift. */
-	int64_t sent_us = c->owner_clock_us + c->owner_clock_age_us -
-			  c->owner_clock_age_us / DRIFT_DIVISOR;
-	int64_t hold_us = c->hold_us - c->hold_us / DRIFT_DIVISOR - 1;
+	int64_t until_us = fp_commitment_end_us(c);
+	int64_t max_us = now_us + c->hold_us -
+			 c->hold_us / FP_RATE_SHARE_DRIFT_DIVISOR - 1;
 	struct committed *k;
 
 	advance(p, now_us);
-	if (sent_us > now_us)
-		sent_us = now_us;
+	if (until_us > max_us)
+		until_us = max_us;
 	if (!c->release && (!c->owner_clock_us || c->owner_clock_us > now_us ||
-			    !c->hold_us || sent_us + hold_us <= now_us))
+			    !c->hold_us || until_us <= now_us))
 		return;
 	k = find_or_add(p, node, now_us);
 	if (c->sent_us <= k->sent_us)
@@ -272,7 +268,7 @@
 	if (!k->n_shares)
 		k->committed_at_us = now_us;
 	k->n_shares = c->n_shares;
-	k->until_us = sent_us + hold_us;
+	k->until_us = until_us;
 	add_reserve(p, c->reserve_micro, now_us);
 	set_bucket(p, now_us);
 	k->reported_fill_permille = fill_permille(p, now_us);
--- a/src/state/rate_share.c
+++ b/src/state/rate_share.c
@@ -16,6 +16,10 @@
  * from its last answer and the time since that answer arrived: reading plus age
  * is never later than the sending.
  *
+ * Nodes without demand commit for long. When demand begins, a short commitment
+ * replaces the long one: at the owner when it arrives, and here when the answer
+ * shows by the owner's clock that it arrived in time.
+ *
  * While a share is committed to an unreachable owner, no node can grant it.
  * What it would have earned is covered by reserve tokens, taken from the tokens
  * that were in the bucket: the owner, if it still runs, removes the same
@@ -93,6 +97,13 @@
 	p->reserve_filled_us = now_us;
 }
 
+int64_t fp_commitment_end_us(const struct fp_commitment *c)
+{
+	return c->owner_clock_us + c->owner_clock_age_us -
+	       c->owner_clock_age_us / FP_RATE_SHARE_DRIFT_DIVISOR +
+	       c->hold_us - c->hold_us / FP_RATE_SHARE_DRIFT_DIVISOR - 1;
+}
+
 static void fill_commitment(const struct fp_rate_share *p, int64_t now_us,
 			    struct fp_commitment *out)
 {
@@ -120,6 +131,7 @@
 		p->awaiting_response = false;
 	}
 	fill_commitment(p, now_us, out);
+	p->unanswered_until_us = 0;
 	if (!fp_rate_share_can_commit(p, v, owner, now_us))
 		return;
 	fill_reserve(p, v, now_us);
@@ -131,8 +143,10 @@
 	p->awaiting_response = true;
 	p->used_locally = false;
 	p->unreleased = true;
-	if (now_us + out->hold_us > p->committed_until_us)
-		p->committed_until_us = now_us + out->hold_us;
+	p->unanswered_until_us = now_us + out->hold_us;
+	p->unanswered_owner_us = fp_commitment_end_us(out);
+	if (p->unanswered_until_us > p->committed_until_us)
+		p->committed_until_us = p->unanswered_until_us;
 }
 
 void fp_rate_share_release(const struct fp_rate_share *p, int64_t now_us,
@@ -163,6 +177,12 @@
 	 * organisation uses. */
 	if (p->owner == owner)
 		p->fill_permille = fill_permille;
+	/* The owner counts from its last clock reading, so it ignores a
+	 * commitment that arrives after its end. */
+	if (p->owner == owner && p->unanswered_until_us &&
+	    owner_clock_us < p->unanswered_owner_us)
+		p->committed_until_us = p->unanswered_until_us;
+	p->unanswered_until_us = 0;
 	p->awaiting_response = false;
 }
 
--- a/src/state/rate_share.h
+++ b/src/state/rate_share.h
@@ -41,6 +41,11 @@
 	struct fp_share_bucket bucket;
 	uint64_t owner; /**< node to which it was last committed */
 	int64_t committed_until_us; /**< end of the last commitment */
+	/** end of the last commitment, if the owner accepted it; 0: none is
+	 *  unanswered */
+	int64_t unanswered_until_us;
+	/** end of that commitment on the owner's clock, as the owner counts */
+	int64_t unanswered_owner_us;
 	uint64_t probed_owner; /**< owner whose clock is or will be read */
 	/** clock of probed_owner in its last answer; 0: none yet */
 	int64_t owner_clock_us;
@@ -57,6 +62,10 @@
 	int64_t reserve_filled_us;
 };
 
+/** Largest drift between two clocks: a span of another clock is reduced by span /
+ *  this. */
+#define FP_RATE_SHARE_DRIFT_DIVISOR 1000
+
 /** Commitment of a share to an owner's bucket; see fp_pool_commit(). */
 struct fp_commitment {
 	/** valid for this time from sending; 0: clock probe */
@@ -74,6 +83,10 @@
 	int64_t reserve_micro;
 };
 
+/** Returns the end of a commitment on the owner's clock: never later than the
+ *  hold after the actual sending, whatever the clock drift. */
+int64_t fp_commitment_end_us(const struct fp_commitment *c);
+
 /** Initialises a share that was not used since this process started. */
 void fp_rate_share_init(struct fp_rate_share *p);
 
@@ -109,7 +122,9 @@
 				     int64_t now_us);
 
 /**
- * Records an owner's answer.
+ * Records an owner's answer to the last commitment or probe.
+ *
+ * An accepted commitment replaces a longer one that was sent before it.
  *
  * @param owner_clock_us  the owner's clock when it answered
  * @param fill_permille   fill of its bucket
--- a/test/rate_shares_sim.h
+++ b/test/rate_shares_sim.h
@@ -36,6 +36,7 @@
 constexpr int64_t MARGIN_US = SECOND * 3 / 10;
 constexpr int64_t REQUEST_TIMEOUT_US = 100000;
 constexpr int64_t COMMIT_US = 200000; /* renewal interval of commitments */
+constexpr int64_t LONG_HOLD_US = 4 * SECOND; /* while demand is low */
 constexpr int64_t WINDOW_US = 5 * SECOND; /* for the bound on admissions */
 
 /* The product follows every rule; false disables it in the simulation. */
@@ -232,8 +233,9 @@
 		if (!rules.hold_respected && n.share.owner != owner_id)
 			n.share.committed_until_us = 0;
 		fp_rate_share_commit(&n.share, &n.validity, owner_id,
-				     FP_RATE_SHARE_HOLD_US, now_us,
-				     &m.commitment);
+				     overloaded ? FP_RATE_SHARE_HOLD_US :
+						  LONG_HOLD_US,
+				     now_us, &m.commitment);
 		if (m.commitment.hold_us)
 			n.release_id = 0;
 		n.committed_us = now_us;
--- a/test/test_rate_share.cc
+++ b/test/test_rate_share.cc
@@ -74,6 +74,50 @@
 	EXPECT_EQ(FP_AGAIN, fp_rate_share_take(&p, &VALID, true, end_us));
 }
 
+/* When demand begins, the long commitment of an idle node becomes a short one,
+ * but only once the owner has answered it in time. */
+TEST_F(RateShare, AShortCommitmentReplacesALongOneWhenItIsAnswered)
+{
+	fp_commitment c;
+	int64_t end_us;
+
+	commit(5, SECOND);
+	fp_rate_share_handle_response(&p, 5, 77, 0, SECOND);
+	fp_rate_share_commit(&p, &VALID, 5, 10 * SECOND, SECOND, &c);
+	fp_rate_share_handle_response(&p, 5, 77, 0, SECOND);
+	EXPECT_TRUE(fp_rate_share_is_committed(&p, 11 * SECOND - 1));
+
+	/* ignored by the owner, as it arrived after its end */
+	c = commit(5, 2 * SECOND);
+	fp_rate_share_handle_response(&p, 5, fp_commitment_end_us(&c), 0,
+				      2 * SECOND + 600000);
+	EXPECT_TRUE(fp_rate_share_is_committed(&p, 11 * SECOND - 1));
+
+	end_us = 3 * SECOND + FP_RATE_SHARE_HOLD_US;
+	c = commit(5, 3 * SECOND);
+	EXPECT_TRUE(fp_rate_share_is_committed(&p, 11 * SECOND - 1));
+	fp_rate_share_handle_response(&p, 5, fp_commitment_end_us(&c) - 1, 0,
+				      3 * SECOND + 1000);
+	EXPECT_TRUE(fp_rate_share_is_committed(&p, end_us - 1));
+	EXPECT_FALSE(fp_rate_share_is_committed(&p, end_us));
+}
+
+/* The answer to a clock probe of another owner says nothing of it. */
+TEST_F(RateShare, AnAnswerToAProbeShortensNothing)
+{
+	fp_commitment c;
+
+	commit(5, SECOND);
+	fp_rate_share_handle_response(&p, 5, 77, 0, SECOND);
+	fp_rate_share_commit(&p, &VALID, 5, 10 * SECOND, SECOND, &c);
+	fp_rate_share_handle_response(&p, 5, 77, 0, SECOND);
+	commit(5, 2 * SECOND);
+	commit(6, 2 * SECOND + 1);
+	fp_rate_share_handle_response(&p, 6, 1, 0, 2 * SECOND + 2);
+	fp_rate_share_handle_response(&p, 5, 78, 0, 2 * SECOND + 3);
+	EXPECT_TRUE(fp_rate_share_is_committed(&p, 11 * SECOND - 1));
+}
+
 TEST_F(RateShare, MovesAtOnceWhenItsReleaseIsConfirmed)
 {
 	fp_commitment c;
--- a/test/test_rate_shares.cc
+++ b/test/test_rate_shares.cc
@@ -88,9 +88,9 @@
 	}
 }
 
-/* The rule that a hold counts from the sending of the commitment has its own
- * test in test_pool: without it, the excess in these schedules stays within the
- * allowance. */
+/* The rules that a hold counts from the sending of the commitment, and that only
+ * an answer shortens it, have their own tests in test_pool and test_rate_share:
+ * without them, the excess in these schedules stays within the allowance. */
 TEST(RateShares, EveryDisabledRuleIsDetected)
 {
 	Rules r;
