--- a/src/state/grants.c
+++ b/src/state/grants.c
@@ -46,15 +46,16 @@
 };
 
 struct fp_grants {
-	struct held_grant held[MAX_HELD]; /* oldest first */
+	/* read for every organisation at each tick, so together */
+	double arrivals; /* count, decays with SMOOTHING_US */
+	double prefetch_us; /* time of demand to prefetch for */
 	uint32_t n_held;
 	bool request_pending;
+	int64_t arrivals_updated_us; /* last update of arrivals */
 	int64_t requested_us; /* time of the pending request */
 	int64_t next_request_us; /* after a refusal */
 	int64_t cool_down_until_us; /* no prefetch before this time */
-	double arrivals; /* count, decays with SMOOTHING_US */
-	int64_t arrivals_updated_us; /* last update of arrivals */
-	double prefetch_us; /* time of demand to prefetch for */
+	struct held_grant held[MAX_HELD]; /* oldest first */
 };
 
 static void remove_grant(struct fp_grants *g, uint32_t i)
