Choice by pace: one pick in sixteen by slots, the age of news counts

One pick in sixteen now ignores the paces. News older than 5 s lose weight by the age that the answer tells. test_balancer fixes each of these rules.

--- a/src/protocol/msg_call.c
+++ b/src/protocol/msg_call.c
@@ -9,7 +9,7 @@
 #define REPLY_FIELDS	    12
 #define CANCEL_FIELDS	    2
 #define LOAD_FIELDS	    (4 + FP_SHED_RANK_COUNT)
-#define SPEED_FIELDS	    5
+#define SPEED_FIELDS	    4
 #define SERVICE_LOAD_FIELDS (4 + FP_SHED_RANK_COUNT)
 
 /* Longest name and value of a header, with NUL. */
@@ -83,7 +83,7 @@
 	msgpack_pack_array(pk, SPEED_FIELDS);
 	msgpack_pack_uint32(pk, s->own_us);
 	msgpack_pack_uint32(pk, s->inner_us);
-	msgpack_pack_uint16(pk, s->percent);
+
 	msgpack_pack_uint32(pk, s->rate_per_s);
 	msgpack_pack_uint32(pk, s->age_ms);
 }
@@ -261,7 +261,7 @@
 		r->bad = true;
 	s->own_us = (uint32_t)fp_read_u64(r, UINT32_MAX);
 	s->inner_us = (uint32_t)fp_read_u64(r, UINT32_MAX);
-	s->percent = (uint16_t)fp_read_u64(r, FP_WORK_PERCENT_MAX);
+
 	s->rate_per_s = (uint32_t)fp_read_u64(r, UINT32_MAX);
 	s->age_ms = (uint32_t)fp_read_u64(r, UINT32_MAX);
 }
--- a/src/state/balancer.c
+++ b/src/state/balancer.c
@@ -14,9 +14,10 @@
  * the mean over the workers of the service that is the worker's pace, and two
  * workers are compared by load and pace: by when the call would end. Routes are
  * kept apart, so that a worker with longer requests is not taken for a slow
- * one. The weights of the draw are the slots, most of them divided by the pace:
- * the rest keeps news coming from a worker that was slow. News lose weight with
- * their age, and small differences count as none.
+ * one. The weights of the draw are the slots divided by the pace; now and then a
+ * pick goes by slots and load alone, which keeps news coming from a worker that
+ * was slow. News lose weight with their age, and small differences count as
+ * none.
  *
  * The pair is drawn among the workers of this node's failure domain first. A
  * pair from other domains is drawn only if the local worker is busy, and its
@@ -76,16 +77,15 @@
 #define LATENCY_WEIGHT	8 /* smoothing of the latency, in answers */
 #define ROUTE_WEIGHT	128 /* smoothing of a route's mean, in answers */
 #define PACE_WEIGHT	2 /* smoothing of a pace, in answers */
-/* share of the weights that does not follow the pace */
-#define SLOT_SHARE 0.25
+#define PICKS_BY_SLOTS	16 /* one pick in this many ignores the paces */
 /* a pace that is closer to 1 than this factor counts as 1: the deviation of a
  * mean of 32 run times that vary by a factor of two ... */
-#define PACE_EQUAL	 1.12
-#define PACE_DIFFERENT	 1.25 /* ... and counts in full from this one */
-#define PACE_MAX	 8.0
-#define PACE_VALID_US	 5000000 /* a pace loses weight after this time ... */
-#define PACE_FADE_US	 5000000 /* ... and is forgotten after this one more */
-#define PERCENT_VALID_US 200000 /* validity of a momentary slowness */
+#define PACE_EQUAL     1.12
+#define PACE_DIFFERENT 1.25 /* ... and counts in full from this one */
+#define PACE_MAX       8.0
+#define PACE_VALID_US  5000000 /* a pace loses weight after this time ... */
+#define PACE_FADE_US   5000000 /* ... and is forgotten after this one more */
+
 /* time of a run, in the unit of the load: the wait of a full worker */
 #define RUN_LOAD 0.5
 
@@ -105,8 +105,6 @@
 	int64_t load_us; /* time of the advertised values */
 	double pace; /* logarithm of its run time over the service's mean */
 	int64_t pace_us; /* time of the news; 0: none */
-	uint32_t percent; /* momentary run time, percent of the usual */
-	int64_t percent_us; /* time of that news; 0: none */
 	int64_t ejected_until_us; /* 0: not ejected */
 	int64_t ejection_us; /* length of the last ejection; 0: none */
 };
@@ -149,6 +147,7 @@
 	int64_t now_us;
 	uint32_t first; /* range of the service's workers */
 	uint32_t end;
+	bool by_slots; /* the paces are ignored */
 	bool ignore_ejections; /* no worker is better than the failing ones */
 };
 
@@ -355,29 +354,6 @@
 	return pace * (size - equal) / (different - equal);
 }
 
-/* Run time at a worker over the mean of its service, as far as it is known. */
-static double pace_of(const struct fp_balancer *b, const struct worker *w,
-		      int64_t now_us)
-{
-	int64_t old_us = now_us - w->pace_us - PACE_VALID_US;
-	double pace = w->pace;
-
-	if (!b->learning || !w->pace_us || old_us >= PACE_FADE_US)
-		return 1;
-	if (old_us > 0)
-		pace *= 1 - (double)old_us / PACE_FADE_US;
-	if (w->percent_us && now_us - w->percent_us <= PERCENT_VALID_US)
-		pace += log(w->percent / 100.0);
-	return exp(significant(pace));
-}
-
-/* When a call would end at a worker, in run times of its service. */
-static double end_of(const struct fp_balancer *b, const struct worker *w,
-		     int64_t now_us)
-{
-	return pace_of(b, w, now_us) * (RUN_LOAD + load_of(w, now_us));
-}
-
 static bool is_stalled(const struct worker *w, int64_t now_us)
 {
 	int64_t longest = STALL_FACTOR * w->latency_us;
@@ -453,13 +429,31 @@
 	       !w->info.suspected && !is_stalled(w, p->now_us);
 }
 
+/* Run time at a worker over the mean of its service, as far as it is known. */
+static double pace_of(const struct pick *p, const struct worker *w)
+{
+	int64_t old_us = p->now_us - w->pace_us - PACE_VALID_US;
+	double pace = w->pace;
+
+	if (p->by_slots || !p->b->learning || !w->pace_us ||
+	    old_us >= PACE_FADE_US)
+		return 1;
+	if (old_us > 0)
+		pace *= 1 - (double)old_us / PACE_FADE_US;
+	return exp(significant(pace));
+}
+
+/* When a call would end at a worker, in run times of its service. */
+static double end_of(const struct pick *p, const struct worker *w)
+{
+	return pace_of(p, w) * (RUN_LOAD + load_of(w, p->now_us));
+}
+
 static void group_add(const struct pick *p, struct group *group,
 		      struct worker *w)
 {
-	double weight =
-		(w->info.slots ? w->info.slots : 1) *
-		warm_fraction(w, p->now_us) *
-		(SLOT_SHARE + (1 - SLOT_SHARE) / pace_of(p->b, w, p->now_us));
+	double weight = (w->info.slots ? w->info.slots : 1) *
+			warm_fraction(w, p->now_us) / pace_of(p, w);
 
 	if (group->n == SUBSET)
 		return;
@@ -494,9 +488,7 @@
 		return NULL;
 	one = draw_one(p, group);
 	other = draw_one(p, group);
-	return end_of(p->b, other, p->now_us) < end_of(p->b, one, p->now_us) ?
-		       other :
-		       one;
+	return end_of(p, other) < end_of(p, one) ? other : one;
 }
 
 static struct worker *choose_local_or_remote(struct pick *p,
@@ -592,6 +584,7 @@
 	if (b->off) {
 		w = pick_uniform(&p);
 	} else {
+		p.by_slots = next_draw(&p) % PICKS_BY_SLOTS == 0;
 		p.ignore_ejections =
 			!has_better_worker(b, p.first, p.end, NULL, 1);
 		w = find_due_probe(&p);
@@ -712,7 +705,5 @@
 		w->pace = pace;
 	else
 		w->pace += (pace - w->pace) / PACE_WEIGHT;
-	w->pace_us = now_us;
-	w->percent = speed->percent;
-	w->percent_us = speed->percent ? now_us : 0;
+	w->pace_us = now_us - (int64_t)speed->age_ms * 1000;
 }
--- a/test/test_balancer.cc
+++ b/test/test_balancer.cc
@@ -10,6 +10,7 @@
 
 #include "sim_worker.h"
 #include "state/balancer.h"
+#include "state/worker_model.h"
 
 static const uint64_t SEED = sim_seed(20260708);
 static const int64_t START_US = 100000000;
@@ -358,3 +359,86 @@
 	EXPECT_LT(on, 100);
 	EXPECT_GT(off, 100);
 }
+
+/* Share of idle worker 2 among the picks; the news are told before. */
+static double idle_fraction(sim_fleet &f)
+{
+	int n = 0;
+
+	for (int i = 0; i < 20000; i++) {
+		uint64_t id = 0;
+
+		fp_balancer_pick(f.c, "s", NULL, 0, f.random.next(), f.now_us,
+				 &id);
+		n += id == 2;
+	}
+	return n / 20000.0;
+}
+
+static void tell(sim_fleet &f, uint64_t id, const char *route, uint32_t own_us,
+		 uint32_t age_ms = 0)
+{
+	struct fp_worker_speed speed = {};
+
+	speed.own_us = own_us;
+	speed.age_ms = age_ms;
+	fp_balancer_note_speed(f.c, id, route, &speed, f.now_us);
+}
+
+/* Paces of 0.5 and 2: weights 4 to 1, and of two different draws the fast one.
+ * One pick in sixteen goes by slots, so that the slow one is not forgotten. */
+TEST(Balancer, FollowsThePace)
+{
+	sim_fleet f;
+
+	f.put(1, "a");
+	f.put(2, "a");
+	for (int i = 0; i < 1000; i++) {
+		tell(f, 1, "r", 20000);
+		tell(f, 2, "r", 80000);
+	}
+	EXPECT_NEAR(15 / 16.0 * 0.2 * 0.2 + 1 / 16.0 * 0.5, idle_fraction(f),
+		    0.012);
+	fp_balancer_set_learning(f.c, false);
+	EXPECT_NEAR(0.5, idle_fraction(f), 0.02);
+}
+
+TEST(Balancer, TakesSmallDifferencesForNone)
+{
+	sim_fleet f;
+
+	f.put(1, "a");
+	f.put(2, "a");
+	for (int i = 0; i < 1000; i++) {
+		tell(f, 1, "r", 20000);
+		tell(f, 2, "r", 22000);
+	}
+	EXPECT_NEAR(0.5, idle_fraction(f), 0.02);
+}
+
+TEST(Balancer, IgnoresOldNewsOfThePace)
+{
+	sim_fleet f;
+
+	f.put(1, "a");
+	f.put(2, "a");
+	for (int i = 0; i < 1000; i++) {
+		tell(f, 1, "r", 20000, 10000);
+		tell(f, 2, "r", 80000, 10000);
+	}
+	EXPECT_NEAR(0.5, idle_fraction(f), 0.02);
+}
+
+/* A worker that gets the longer requests is not slow. */
+TEST(Balancer, ComparesThePaceByRoute)
+{
+	sim_fleet f;
+
+	f.put(1, "a");
+	f.put(2, "a");
+	for (int i = 0; i < 1000; i++) {
+		tell(f, 1, i % 8 ? "short" : "long", i % 8 ? 20000 : 200000);
+		tell(f, 2, i % 8 ? "long" : "short", i % 8 ? 200000 : 20000);
+	}
+	EXPECT_NEAR(0.5, idle_fraction(f), 0.02);
+}
