Bound what a node holds for clients by one account of bytes

Cause: limits.max_body_bytes bounds one body, nothing bounded their sum, and a body announced over the limit was taken in and kept. A crowd of legal bodies, whole or short of their end, took an entry node to several times its machine's memory, and connections with heads that never end kept all others out.

Change: bodies, calls over links and answers draw from one account (transport/byte_account.c, limits.max_held_bytes) before they are read on. Without room a body waits unread; what makes no progress gives way, first of the address that holds most. A body too large is refused at its head or when it passes the limit, and its connection ends. Beyond max_connections an idle connection is closed for a new one.

A body that was paused at its head is announced to the handler a second time by the library; test_http_server shows that it arrives whole.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 $(error cannot check the build folder $(B))
 endif
 
-.PHONY: asan-build asan-unit tsan fuzz-corpus all check unit e2e demo bench slopes faults fuzz model lint format \
+.PHONY: asan-build asan-unit tsan fuzz-corpus all check alone check-others unit e2e demo bench slopes faults fuzz model lint format \
 	deps clean
 
 all: $(B)/fulmarpass $(STANDINS) $(BENCHES) $(TESTS)
@@ -117,7 +117,7 @@
 # the others take too long.
 ASAN_UNIT := msg_call msg_shared peer admission balancer early_shed attempts \
 	poison claims settings config declarations slo reach base load_view \
-	http_client directory directory_relay platform id_index run_times
+	http_client http_server byte_account directory directory_relay platform id_index run_times
 
 asan-build:
 	$(MAKE) VARIANT=asan $(ASAN_UNIT:%=build-asan/test/test_%)
@@ -127,10 +127,19 @@
 		$(ASAN_UNIT:%=build-asan/test/test_%)
 
 # End-to-end tests mostly wait. They come first, the longest before the others.
+# Tests that measure memory run by themselves (alone), before all others, which
+# run and are reported even if these fail.
+ALONE := $(B)/test/test_e2e_bodies
 LONGEST := $(B)/test/test_e2e_hosted $(B)/test/test_e2e_faults
 check: all
+	rc=0; $(MAKE) alone || rc=1; $(MAKE) check-others || rc=1; exit $$rc
+
+alone: all
+	sh tools/run-tests.sh $(B) $(ALONE)
+
+check-others: all
 	sh tools/run-tests.sh -j 3 $(B) $(LONGEST) \
-		$(filter-out $(LONGEST),$(E2E)) $(UNIT)
+		$(filter-out $(LONGEST) $(ALONE),$(E2E)) $(UNIT)
 
 # Runs the cases that docs/FAULTS.md names and prints its table with
 # the results.
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -1,5 +1,6 @@
 /* main.c - the command line of fulmarpass: its table of commands */
 #include <getopt.h>
+#include <malloc.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
@@ -15,6 +16,10 @@
 #define TAKES_HTML     16u
 #define TAKES_FILES    32u /* one argument and one or more files */
 
+/* Larger allocations are mapped on their own; the library would raise its
+ * threshold with the size of each one that is freed. */
+#define MMAP_THRESHOLD_BYTES (256 << 10)
+
 /** One command of one or two words. */
 struct command {
 	const char *word;
@@ -259,6 +264,9 @@
 
 	if (sodium_init() < 0)
 		return CMD_REFUSED;
+	/* Large bodies go back to the system when they are freed, and grow
+	 * without being copied. */
+	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
 	if (!read_options(argc, argv, &r))
 		return CMD_USAGE;
 	if (r.version)
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -58,9 +58,9 @@
 		      const struct fp_http_request *r)
 {
 	struct call *c = calloc(1, sizeof(*c));
-	uint8_t *body = malloc(r->body_bytes + 1);
+	uint8_t *body = fp_http_take_body(x);
 
-	if (!c || !body)
+	if (!c)
 		abort();
 	c->t = t;
 	c->x = x;
@@ -68,8 +68,6 @@
 	strncpy(c->msg.method, r->method, sizeof(c->msg.method) - 1);
 	strncpy(c->msg.uri, r->uri, sizeof(c->msg.uri) - 1);
 	copy_headers(c, r);
-	if (r->body_bytes)
-		memcpy(body, r->body, r->body_bytes);
 	c->msg.content.body = body;
 	c->msg.content.body_bytes = r->body_bytes;
 	fp_http_exchange_set(x, c);
@@ -389,12 +387,15 @@
 	struct fp_traffic *t = c->t;
 	enum fp_status st = FP_UNAVAILABLE;
 	msgpack_sbuffer buf;
+	size_t bytes;
 
 	msgpack_sbuffer_init(&buf);
 	fp_msg_call_encode(&c->msg, &buf);
 	if (m->id == t->node_id) {
 		c->link = NULL;
-		execution_accept(t, NULL, (const uint8_t *)buf.data, buf.size);
+		bytes = buf.size;
+		execution_accept_own(
+			t, (uint8_t *)msgpack_sbuffer_release(&buf), bytes);
 		st = FP_OK;
 	} else {
 		c->link = fp_peer_link_to(t->peers, m->peer_addr);
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -74,6 +74,7 @@
 		same_id = execution_find_request(t, e->by_request.id);
 	}
 	fp_msg_memory_end(&e->memory);
+	fp_byte_end(t->bytes, &e->hold);
 	free(e->data);
 	free(e);
 	t->n_executions--;
@@ -322,6 +323,7 @@
 				 .headers = h,
 				 .body = e->msg.content.body,
 				 .body_bytes = e->msg.content.body_bytes,
+				 .body_lasts = true,
 				 .max_answer_bytes = max_answer_bytes(e),
 				 .at_most_once = e->msg.non_idempotent };
 
@@ -489,18 +491,16 @@
 
 /* --- arrival and early ends --- */
 
+/* Takes over the data, malloc'd. */
 static struct execution *execution_new(struct fp_traffic *t,
-				       struct fp_peer_link *link,
-				       const uint8_t *data, size_t bytes)
+				       struct fp_peer_link *link, uint8_t *data,
+				       size_t bytes)
 {
 	struct execution *e = calloc(1, sizeof(*e));
 
 	if (!e)
 		abort();
-	e->data = malloc(bytes);
-	if (!e->data)
-		abort();
-	memcpy(e->data, data, bytes);
+	e->data = data;
 	if (fp_msg_call_decode(e->data, bytes, &e->msg, &e->memory) != FP_OK) {
 		free(e->data);
 		free(e);
@@ -526,8 +526,8 @@
 	return e;
 }
 
-void execution_accept(struct fp_traffic *t, struct fp_peer_link *link,
-		      const uint8_t *data, size_t bytes)
+static void accept_call(struct fp_traffic *t, struct fp_peer_link *link,
+			uint8_t *data, size_t bytes)
 {
 	struct execution *e = execution_new(t, link, data, bytes);
 
@@ -541,9 +541,31 @@
 		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_STOPPING);
 		return;
 	}
+	/* A call from this node itself is in the account of its caller. */
+	if (link &&
+	    !fp_byte_keep(t->bytes, &e->hold, bytes, fp_loop_now_us(t->loop))) {
+		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_OVERLOADED);
+		return;
+	}
 	offer(e);
 }
 
+void execution_accept(struct fp_traffic *t, struct fp_peer_link *link,
+		      const uint8_t *data, size_t bytes)
+{
+	uint8_t *copy = malloc(bytes);
+
+	if (!copy)
+		abort();
+	memcpy(copy, data, bytes);
+	accept_call(t, link, copy, bytes);
+}
+
+void execution_accept_own(struct fp_traffic *t, uint8_t *data, size_t bytes)
+{
+	accept_call(t, NULL, data, bytes);
+}
+
 /* Ends an execution whose reply is no longer needed. */
 static void abandon(struct execution *e)
 {
--- a/src/node/execution_private.h
+++ b/src/node/execution_private.h
@@ -28,6 +28,7 @@
 	uint64_t admission_id; /* its id at admission */
 	/* by the caller's id of the request; its id is NULL if there is none */
 	struct fp_id_entry by_request;
+	struct fp_byte_holder hold; /* of data, if it came over a link */
 	bool running; /* admission started it; it holds a slot */
 	int64_t deadline_us;
 	int64_t sent_us; /* when it was sent to the backend server */
--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -156,19 +156,28 @@
 	free(text);
 }
 
+static int64_t value_of(struct fp_hosted *h, const char *name)
+{
+	return fp_counter_value(fp_counter_get(h->counters, name, ""));
+}
+
 static void reply_status(struct fp_hosted *h, struct fp_http_exchange *x)
 {
 	static const struct fp_http_header type = { "Content-Type",
 						    "application/json" };
-	char body[256];
+	char body[512];
 	int n = snprintf(body, sizeof(body),
 			 "{\"node\": \"%s\", \"service\": \"%s\", "
 			 "\"config_revision\": %" PRIu64 ", \"members\": %u, "
-			 "\"whole\": %s}\n",
+			 "\"whole\": %s, \"held_bytes\": %" PRId64
+			 ", \"held_bytes_limit\": %" PRId64
+			 ", \"bodies_waiting\": %" PRId64 "}\n",
 			 h->settings->name, h->settings->service,
 			 fp_directory_revision(h->directory), h->n_members,
-			 fp_directory_is_ready(h->directory) ? "true" :
-							       "false");
+			 fp_directory_is_ready(h->directory) ? "true" : "false",
+			 value_of(h, "fulmar_held_bytes"),
+			 value_of(h, "fulmar_held_bytes_limit"),
+			 value_of(h, "fulmar_bodies_waiting"));
 
 	fp_http_reply(x, 200, &type, 1, body, (size_t)n);
 }
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -25,6 +25,7 @@
 #define LOCAL_HEADER_FACTOR 2
 /* Enough for one readiness probe a second and a few manual requests. */
 #define MAX_READY_CONNECTIONS 16u
+#define MAX_READY_BODY_BYTES  4096
 
 uint64_t traffic_random(void)
 {
@@ -180,6 +181,7 @@
 		.max_body_bytes = s->max_body_bytes,
 		.max_header_bytes = s->max_header_bytes,
 		.max_connections = s->max_connections,
+		.account = t->bytes,
 	};
 	struct fp_http_handler h = { .request = on_caller,
 				     .client_left = on_client_left,
@@ -192,6 +194,7 @@
 	cfg.address = s->local_address;
 	cfg.port = s->local_port;
 	cfg.max_header_bytes *= LOCAL_HEADER_FACTOR;
+	cfg.reserved = true;
 	h.request = on_local;
 	st = fp_http_server_init(t->loop, &cfg, &h, &t->local);
 	if (st != FP_OK || !s->ready_port)
@@ -199,6 +202,8 @@
 	cfg.address = s->address;
 	cfg.port = s->ready_port;
 	cfg.max_connections = MAX_READY_CONNECTIONS;
+	cfg.max_body_bytes = MAX_READY_BODY_BYTES;
+	cfg.account = NULL;
 	h.request = on_ready;
 	h.client_left = NULL;
 	return fp_http_server_init(t->loop, &cfg, &h, &t->ready);
@@ -238,6 +243,7 @@
 	if (t->hosted)
 		owner_tick(t, now_us);
 	claim_tick(t, now_us);
+	held_tick(t);
 	if (t->draining)
 		drain_tick(t, now_us);
 	fp_timer_set(t->loop, &t->tick, now_us + TICK_US, on_tick, t);
@@ -301,7 +307,8 @@
 	t->calls = apr_hash_make(t->pool);
 	t->call_times = fp_run_times_init();
 	t->execution_times = fp_run_times_init();
-	if (!t->call_times || !t->execution_times)
+	t->bytes = fp_byte_account_init(s->max_held_bytes);
+	if (!t->call_times || !t->execution_times || !t->bytes)
 		abort();
 	t->balancer =
 		fp_balancer_init(s->failure_domain, s->region, s->overload_off);
@@ -319,6 +326,8 @@
 	}
 	if (st == FP_OK)
 		fp_http_client_limit(t->client, s->max_held_bytes);
+	if (st == FP_OK)
+		fp_http_client_use(t->client, t->bytes);
 	if (st == FP_OK)
 		st = open_http(t);
 	if (st == FP_OK)
@@ -379,6 +388,7 @@
 	owner_end(t);
 	claim_shutdown(t);
 	fp_admission_end(t->admission);
+	fp_byte_account_end(t->bytes);
 	free(t->decisions);
 	fp_run_times_end(t->call_times);
 	fp_run_times_end(t->execution_times);
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -112,6 +112,7 @@
 	uint32_t n_aborted; /* recorded so far; modulo the size: next index */
 	struct fp_slo *slo; /* service levels of root calls */
 	struct fp_recovery recovery; /* overload episodes of all root calls */
+	struct fp_byte_account *bytes; /* held for clients and workers */
 	bool worker_leaving; /* it announced that it is leaving */
 	bool has_secret; /* links to other nodes can be established */
 	bool isolated; /* API keys cannot be trusted */
@@ -241,15 +242,22 @@
 bool drain_can_finish_execution(const struct fp_traffic *t, const char *route,
 				int64_t deadline_us);
 
+/* --- held.c --- */
+
+/** Updates the metrics of what is held for clients. */
+void held_tick(struct fp_traffic *t);
+
 /* --- slo_node.c: service levels --- */
 
 void slo_init(struct fp_traffic *t);
 
 /* --- execution.c: calls that run at this node's backend server --- */
 
-/** Accepts an encoded call; link NULL: from this node itself. */
+/** Accepts an encoded call that arrived over a link. */
 void execution_accept(struct fp_traffic *t, struct fp_peer_link *link,
 		      const uint8_t *data, size_t bytes);
+/** The same for a call from this node itself; takes over the data, malloc'd. */
+void execution_accept_own(struct fp_traffic *t, uint8_t *data, size_t bytes);
 void execution_init(struct fp_traffic *t);
 /** Applies the worker's slots and the active preset to admission. */
 void execution_update_params(struct fp_traffic *t);
--- a/src/transport/http_answer.c
+++ b/src/transport/http_answer.c
@@ -44,9 +44,17 @@
 
 /* --- body --- */
 
+/* Tells the account how much is held; false: there is no room for it. */
+static bool account_for(struct fp_http_client *c, size_t held_bytes)
+{
+	return !c->account || fp_byte_set_received(c->account, held_bytes,
+						   fp_loop_now_us(c->loop));
+}
+
 void http_answer_free(struct fp_http_send *s)
 {
 	s->client->held_bytes -= s->body_size;
+	account_for(s->client, s->client->held_bytes);
 	free(s->body);
 	s->body = NULL;
 	s->body_size = 0;
@@ -86,7 +94,8 @@
 	struct fp_http_client *c = s->client;
 	struct fp_http_send *largest;
 
-	while (c->held_bytes - s->body_size + size > c->max_held_bytes) {
+	while (c->held_bytes - s->body_size + size > c->max_held_bytes ||
+	       !account_for(c, c->held_bytes - s->body_size + size)) {
 		largest = largest_answer(c);
 		if (size >= largest->body_size)
 			return false;
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -375,6 +375,11 @@
 	c->max_held_bytes = max_held_bytes;
 }
 
+void fp_http_client_use(struct fp_http_client *c, struct fp_byte_account *a)
+{
+	c->account = a;
+}
+
 size_t fp_http_client_held_bytes(const struct fp_http_client *c)
 {
 	return c->held_bytes;
@@ -417,20 +422,25 @@
 static enum fp_status set_body(struct fp_http_send *s,
 			       const struct fp_http_out *o)
 {
+	const char *body = o->body;
+
 	if (!o->body_bytes && strcmp(o->method, "GET") == 0)
 		return FP_OK;
 	if (strcmp(o->method, "HEAD") == 0) {
 		curl_easy_setopt(s->easy, CURLOPT_NOBODY, 1L);
 		return FP_OK;
 	}
-	s->body_out = malloc(o->body_bytes + 1);
-	if (!s->body_out)
-		return fp_fail(FP_NOMEM, "out of memory");
-	if (o->body_bytes)
-		memcpy(s->body_out, o->body, o->body_bytes);
+	if (!o->body_lasts) {
+		s->body_out = malloc(o->body_bytes + 1);
+		if (!s->body_out)
+			return fp_fail(FP_NOMEM, "out of memory");
+		if (o->body_bytes)
+			memcpy(s->body_out, o->body, o->body_bytes);
+		body = s->body_out;
+	}
 	curl_easy_setopt(s->easy, CURLOPT_POSTFIELDSIZE_LARGE,
 			 (curl_off_t)o->body_bytes);
-	curl_easy_setopt(s->easy, CURLOPT_POSTFIELDS, s->body_out);
+	curl_easy_setopt(s->easy, CURLOPT_POSTFIELDS, body ? body : "");
 	curl_easy_setopt(s->easy, CURLOPT_CUSTOMREQUEST, o->method);
 	return FP_OK;
 }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -25,6 +25,9 @@
 	uint32_t n_headers;
 	const void *body;
 	size_t body_bytes;
+	/** The body stays valid until done or fp_http_cancel() returns, so it is
+	 *  not copied. */
+	bool body_lasts;
 	int64_t timeout_us; /**< from the start until the answer is complete */
 	size_t max_answer_bytes; /**< a larger answer body ends with FP_IO */
 	/**
@@ -77,6 +80,8 @@
  * with FP_IO.
  */
 void fp_http_client_limit(struct fp_http_client *c, size_t max_held_bytes);
+/** Draws these bodies from an account, too. */
+void fp_http_client_use(struct fp_http_client *c, struct fp_byte_account *a);
 /** Returns the memory that these bodies take at present. */
 size_t fp_http_client_held_bytes(const struct fp_http_client *c);
 
--- a/src/transport/http_client_private.h
+++ b/src/transport/http_client_private.h
@@ -52,6 +52,7 @@
 	struct fp_http_send *given_up; /* list; to be ended */
 	size_t held_bytes; /* allocated for the bodies of all answers */
 	size_t max_held_bytes;
+	struct fp_byte_account *account; /* or NULL */
 };
 
 /* --- http_client.c --- */
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -8,6 +8,13 @@
  *
  * The library does not poll a suspended connection. A periodic sweep peeks at
  * the sockets of suspended exchanges to detect clients that disconnected.
+ *
+ * Bodies and answers draw from the account of the node (transport/byte_account.h). A
+ * body without room is not read: its connection is suspended. A request that is
+ * refused before its body was read is answered on the socket itself, since the
+ * library takes answers only before and after a body; what the client still sends
+ * is thrown away for LINGER_US, so that it can read the answer before the
+ * connection is reset.
  */
 #include "transport/http_server.h"
 
@@ -25,62 +32,17 @@
 #include <unistd.h>
 
 #include "transport/http_framing.h"
-
-#define SWEEP_US	 (100 * FP_US_PER_MS) /* period of on_sweep() */
-#define IDLE_TIMEOUT_S	 60
-#define BODY_FIRST_BYTES 1024
-#define MAX_HEADERS	 64
-#define LISTEN_BACKLOG	 1024
+#include "transport/http_server_private.h"
+
+#define SWEEP_US       (100 * FP_US_PER_MS) /* period of on_sweep() */
+#define IDLE_TIMEOUT_S 60
+#define LISTEN_BACKLOG 1024
+/* Connections beyond max_connections that the library accepts, so that others
+ * can be closed in their favour. */
+#define SPARE_CONNECTIONS 32
 /* Bytes that the library needs per connection besides the request head. */
 #define MEMORY_HEAD_EXTRA 4096
 
-enum exchange_state {
-	READING, /* head received, body arriving */
-	WAITING, /* with the handler, connection suspended */
-	ANSWERED, /* answer stored, connection resumed */
-	SENDING, /* answer queued at the library */
-	OVERSIZED, /* body too large: discard the rest, answer 413 */
-};
-
-struct fp_http_exchange {
-	struct fp_http_server *server;
-	struct MHD_Connection *conn;
-	enum exchange_state state;
-	bool suspended;
-	bool in_handler; /* the request callback is on the stack */
-	bool left_notified; /* the handler was notified of the disconnect */
-	bool ended; /* the library has completed it; the answer is dropped */
-	char *uri; /* raw */
-	char method[16]; /* as sent */
-	uint8_t *body; /* malloc'd */
-	size_t body_bytes; /* used */
-	size_t body_size; /* allocated */
-	struct fp_http_header headers[MAX_HEADERS]; /* texts of the library */
-	uint32_t n_headers;
-	struct MHD_Response *response; /* stored until it can be queued */
-	int status;
-	void *value; /* of the handler, see fp_http_exchange_set */
-	struct fp_http_exchange **pprev; /* the pointer that points to this */
-	struct fp_http_exchange *next;
-};
-
-struct fp_http_server {
-	struct fp_loop *loop;
-	struct MHD_Daemon *daemon;
-	struct fp_http_handler handler;
-	struct fp_http_server_config cfg;
-	struct fp_watch *watch;
-	struct fp_timer timeout; /* of the library */
-	struct fp_timer sweep;
-	bool run_pending; /* call MHD_run at the end of this loop iteration */
-	bool keep_alive_disabled; /* each answer closes its connection */
-	bool quiesced;
-	int listen_fd;
-	uint16_t port;
-	uint32_t n_open; /* exchanges not ended */
-	struct fp_http_exchange *open; /* list of them */
-};
-
 const char *fp_http_find_header(const struct fp_http_header *h, uint32_t n,
 				const char *name)
 {
@@ -131,6 +93,10 @@
 {
 	struct fp_http_server *s = ctx;
 
+	if (s->freed_bytes) {
+		s->freed_bytes = false;
+		fp_byte_tick(s->cfg.account, fp_loop_now_us(s->loop));
+	}
 	if (s->run_pending && s->daemon)
 		run_library(s);
 }
@@ -157,8 +123,8 @@
 	s->n_open--;
 	if (x->response)
 		MHD_destroy_response(x->response);
+	intake_free_body(x);
 	free(x->uri);
-	free(x->body);
 	free(x);
 }
 
@@ -179,6 +145,7 @@
 		return NULL;
 	}
 	exchange_link(s, x);
+	intake_begin(x);
 	return x;
 }
 
@@ -201,6 +168,7 @@
 	*con_cls = NULL;
 	if (!x)
 		return;
+	intake_end(x);
 	if (x->state == READING && toe != MHD_REQUEST_TERMINATED_COMPLETED_OK &&
 	    s->handler.refused)
 		s->handler.refused(s->handler.ctx, 400);
@@ -228,31 +196,6 @@
 	return MHD_YES;
 }
 
-static enum MHD_Result store_body(struct fp_http_exchange *x, const char *data,
-				  size_t n)
-{
-	size_t needed = x->body_bytes + n;
-	size_t size = x->body_size ? x->body_size : BODY_FIRST_BYTES;
-	uint8_t *body;
-
-	if (needed > x->server->cfg.max_body_bytes) {
-		x->state = OVERSIZED;
-		return MHD_YES;
-	}
-	while (size < needed)
-		size *= 2;
-	if (size != x->body_size) {
-		body = realloc(x->body, size);
-		if (!body)
-			return MHD_NO;
-		x->body = body;
-		x->body_size = size;
-	}
-	memcpy(x->body + x->body_bytes, data, n);
-	x->body_bytes = needed;
-	return MHD_YES;
-}
-
 static enum MHD_Result refuse_with(struct fp_http_exchange *x, int status,
 				   const char *reason, bool close_after)
 {
@@ -325,62 +268,77 @@
 				 size_t *data_bytes, void **con_cls)
 {
 	struct fp_http_exchange *x = *con_cls;
-	enum MHD_Result rc;
 
 	(void)ctx;
 	(void)url;
 	(void)version;
 	if (!x)
 		return MHD_NO;
+	if (x->state == LINGERING)
+		return intake_discard(x, data_bytes);
 	if (!x->method[0]) {
 		snprintf(x->method, sizeof(x->method), "%s", method);
 		/* See http_framing_is_ambiguous(). */
 		if (http_framing_is_ambiguous(conn))
 			return refuse_and_close(x);
+		intake_begin_body(x);
 		return MHD_YES;
 	}
 	if (x->state == ANSWERED)
 		return queue_answer(x);
-	if (*data_bytes) {
-		rc = x->state == OVERSIZED ? MHD_YES :
-					     store_body(x, data, *data_bytes);
-		*data_bytes = 0;
-		return rc;
-	}
-	if (x->state == OVERSIZED)
-		return refuse(x, 413, "too-large");
-	if (x->state == READING)
+	if (*data_bytes)
+		return intake_store(x, data, data_bytes);
+	if (x->state == READING && intake_is_whole(x)) {
+		intake_complete(x);
 		return call_handler(x);
+	}
 	return MHD_YES;
 }
 
-static struct MHD_Response *make_response(const struct fp_http_header *headers,
+static struct MHD_Response *make_response(struct fp_http_exchange *x,
+					  const struct fp_http_header *headers,
 					  uint32_t n_headers, const void *body,
 					  size_t body_bytes)
 {
 	struct MHD_Response *r;
 	uint32_t i;
 
-	r = MHD_create_response_from_buffer(body_bytes, (void *)(uintptr_t)body,
-					    MHD_RESPMEM_MUST_COPY);
-	if (!r)
-		abort();
+	r = intake_make_response(x, body, body_bytes);
 	for (i = 0; i < n_headers; i++)
 		MHD_add_response_header(r, headers[i].name, headers[i].value);
 	return r;
 }
 
+uint8_t *fp_http_take_body(struct fp_http_exchange *x)
+{
+	uint8_t *body = x->body;
+
+	x->body = NULL;
+	return body;
+}
+
 void fp_http_reply(struct fp_http_exchange *x, int status,
 		   const struct fp_http_header *headers, uint32_t n_headers,
 		   const void *body, size_t body_bytes)
 {
+	static const struct fp_http_header lost[] = {
+		{ "Fulmar-Outcome", "ran" }, { "Fulmar-Reason", "cut" }
+	};
 	struct fp_http_server *s = x->server;
 
 	if (x->ended) {
 		exchange_free(x);
 		return;
 	}
-	x->response = make_response(headers, n_headers, body, body_bytes);
+	if (!intake_hold_answer(x, body_bytes)) {
+		x->response = make_response(x, lost, 2, "", 0);
+		status = 502;
+	} else {
+		x->response =
+			make_response(x, headers, n_headers, body, body_bytes);
+	}
+	free(x->body);
+	x->body = NULL;
 	if (s->keep_alive_disabled)
 		MHD_add_response_header(x->response, "Connection", "close");
 	x->status = status;
@@ -405,20 +363,6 @@
 
 /* --- clients that disconnected --- */
 
-static bool client_left(struct fp_http_exchange *x)
-{
-	const union MHD_ConnectionInfo *info;
-	char byte;
-	ssize_t n;
-
-	info = MHD_get_connection_info(x->conn,
-				       MHD_CONNECTION_INFO_CONNECTION_FD);
-	if (!info)
-		return false;
-	n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
-}
-
 /* Detects clients that disconnected while their request was suspended. */
 static void on_sweep(void *ctx)
 {
@@ -428,9 +372,13 @@
 
 	for (x = s->open; x; x = next) {
 		next = x->next;
-		if (x->suspended && !x->left_notified && client_left(x))
+		if (x->suspended && !x->left_notified && intake_client_left(x))
 			notify_client_left(x);
+		if (intake_is_overdue(x, fp_loop_now_us(s->loop)))
+			intake_end_connection(x);
 	}
+	if (s->cfg.account)
+		fp_byte_tick(s->cfg.account, fp_loop_now_us(s->loop));
 	fp_timer_set(s->loop, &s->sweep, fp_loop_now_us(s->loop) + SWEEP_US,
 		     on_sweep, s);
 }
@@ -495,12 +443,15 @@
 		NULL, NULL, on_access, s, MHD_OPTION_EXTERNAL_LOGGER,
 		on_library_message, s, MHD_OPTION_LISTEN_SOCKET, s->listen_fd,
 		MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)s->cfg.max_connections,
+		(unsigned int)s->cfg.max_connections +
+			(s->cfg.account ? SPARE_CONNECTIONS : 0),
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
 		MHD_OPTION_URI_LOG_CALLBACK, on_uri, s,
 		MHD_OPTION_UNESCAPE_CALLBACK, keep_escapes, s,
-		MHD_OPTION_NOTIFY_COMPLETED, on_completed, s, MHD_OPTION_END);
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
+		s->cfg.account ? MHD_OPTION_NOTIFY_CONNECTION : MHD_OPTION_END,
+		intake_on_connection, s, MHD_OPTION_END);
 	if (!s->daemon)
 		return fp_fail(FP_IO, "cannot start the HTTP server on %s:%u",
 			       s->cfg.address, s->port);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -2,11 +2,13 @@
 #ifndef FP_TRANSPORT_HTTP_SERVER_H
 #define FP_TRANSPORT_HTTP_SERVER_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include "base/counters.h"
 #include "base/status.h"
+#include "transport/byte_account.h"
 #include "transport/loop.h"
 
 #ifdef __cplusplus
@@ -43,7 +45,8 @@
 	 * still be answered exactly once, now or later; the answer is dropped.
 	 */
 	void (*client_left)(void *ctx, struct fp_http_exchange *x);
-	/** The server itself refused a request: HTTP status 400, 413 or 431. */
+	/** The server itself refused a request: HTTP status 400, 408, 413, 431 or
+	 *  503. */
 	void (*refused)(void *ctx, int http_status);
 	void *ctx;
 };
@@ -55,6 +58,12 @@
 	uint32_t max_body_bytes;
 	uint32_t max_header_bytes;
 	uint32_t max_connections;
+	/** Account of the bodies and answers that are held, of the same thread;
+	 *  NULL: they are only limited one by one. */
+	struct fp_byte_account *account;
+	/** Bodies of this server use the reserve of the account and never give
+	 *  way. */
+	bool reserved;
 };
 
 /**
@@ -76,6 +85,10 @@
 void fp_http_exchange_set(struct fp_http_exchange *x, void *value);
 void *fp_http_exchange_get(const struct fp_http_exchange *x);
 
+/** Returns the request's body, malloc'd, and leaves it to the caller; NULL if it
+ *  is empty. It stays valid in the request. */
+uint8_t *fp_http_take_body(struct fp_http_exchange *x);
+
 /** Sends the answer; headers and body are copied. The handler must not use the
  *  exchange afterwards. */
 void fp_http_reply(struct fp_http_exchange *x, int status,
--- a/test/e2e_hosted.h
+++ b/test/e2e_hosted.h
@@ -125,7 +125,8 @@
 			grace +
 			"\"\nretry_ratio = \"0.2\"\n"
 			"retry_floor = 50\n"
-			"[limits]\nmax_body_bytes = 67108864\n";
+			"[limits]\n" +
+			limits;
 		settings[m->id] = text;
 		EXPECT_TRUE(fleet_write_file(f, (m->id + ".toml").c_str(),
 					     text.c_str(), path, sizeof(path)));
@@ -152,6 +153,8 @@
 		o.close_without_answer = close_without_answer;
 		o.refusal_load = refusal_load;
 		o.endless_path = "/endless";
+		o.large_path = "/large";
+		o.large_bytes = answer_bytes;
 		if (nested_host) {
 			texts.push_back(m.outbound + "/inner/x");
 			o.nested_url = texts.back().c_str();
@@ -375,6 +378,9 @@
 	 * request; null: they refuse none */
 	const char *refusal_load = nullptr;
 	int n_domains = 2; /* failure domains */
+	/* settings [limits] of later nodes */
+	std::string limits = "max_body_bytes = 67108864\n";
+	int answer_bytes = 0; /* of a path with /large at later servers */
 	std::string grace = "6s"; /* setting bounds.grace of later nodes */
 	std::vector<std::unique_ptr<Machine>> machines;
 	std::list<std::string> texts; /* strings that server options point to */
--- a/test/standin/lib_platform.c
+++ b/test/standin/lib_platform.c
@@ -534,6 +534,23 @@
 	return rc;
 }
 
+/* The body of an answer: of the size asked for by the path, or a word. */
+static struct MHD_Response *make_body(const struct platform_server *s,
+				      const char *path)
+{
+	char *body;
+
+	if (!s->o.large_path || !strstr(path, s->o.large_path))
+		return MHD_create_response_from_buffer(
+			4, (void *)(uintptr_t) "done", MHD_RESPMEM_PERSISTENT);
+	body = malloc((size_t)s->o.large_bytes);
+	if (!body)
+		abort();
+	memset(body, 'a', (size_t)s->o.large_bytes);
+	return MHD_create_response_from_buffer((size_t)s->o.large_bytes, body,
+					       MHD_RESPMEM_MUST_FREE);
+}
+
 static enum MHD_Result on_request(struct serve_request *r, void *arg)
 {
 	struct platform_server *s = arg;
@@ -561,8 +578,7 @@
 		return MHD_NO;
 	if (s->o.endless_path && strstr(r->path, s->o.endless_path))
 		return send_endless(r);
-	res = MHD_create_response_from_buffer(4, (void *)(uintptr_t) "done",
-					      MHD_RESPMEM_PERSISTENT);
+	res = make_body(s, r->path);
 	MHD_add_response_header(res, "Fulmarpass-Response-Signature", s->o.id);
 	MHD_add_response_header(res, "Fulmarpass-Request-Id",
 				serve_header(r, "Fulmarpass-Request-Id"));
--- a/test/standin/lib_platform.h
+++ b/test/standin/lib_platform.h
@@ -73,6 +73,10 @@
 	/** Requests whose path contains this text get a body without end, in
 	 *  chunks; NULL: none. */
 	const char *endless_path;
+	/** Requests whose path contains this text get a body of large_bytes;
+	 *  NULL: none. */
+	const char *large_path;
+	int large_bytes;
 	/** Load that it reports with a refusal of each request; NULL: it
 	 *  refuses none. */
 	const char *refusal_load;
--- a/test/test_http_server.cc
+++ b/test/test_http_server.cc
@@ -22,6 +22,8 @@
 namespace
 {
 
+const size_t ACCOUNT_BYTES = 2000; /* arriving bodies: 1500, each twice */
+
 class HttpServer : public testing::Test
 {
       protected:
@@ -34,6 +36,7 @@
 		cfg.max_body_bytes = 1000;
 		cfg.max_header_bytes = 4096;
 		cfg.max_connections = 10;
+		cfg.account = account = fp_byte_account_init(ACCOUNT_BYTES);
 		h.request = [](void *ctx, struct fp_http_exchange *x,
 			       const struct fp_http_request *r) {
 			auto *t = static_cast<HttpServer *>(ctx);
@@ -51,6 +54,7 @@
 	void TearDown() override
 	{
 		fp_http_server_end(server);
+		fp_byte_account_end(account);
 		fp_loop_end(loop);
 	}
 
@@ -85,6 +89,56 @@
 		return got;
 	}
 
+	int open_connection()
+	{
+		struct sockaddr_in sin = {};
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		sin.sin_family = AF_INET;
+		sin.sin_port = htons(fp_http_server_port(server));
+		inet_pton(AF_INET, "127.0.0.1", &sin.sin_addr);
+		EXPECT_EQ(0, connect(fd, (struct sockaddr *)&sin, sizeof(sin)));
+		fcntl(fd, F_SETFL, O_NONBLOCK);
+		return fd;
+	}
+	/* Sends again and again, and reads only if asked, until the server has
+	 * closed the connection; returns what was read. */
+	std::string flood(int fd, const std::string &part, bool reads,
+			  bool *closed)
+	{
+		std::string got;
+		char buf[4096];
+		ssize_t n;
+
+		*closed = false;
+		for (int i = 0; i < 5000 && !*closed; i++) {
+			n = send(fd, part.data(), part.size(), MSG_NOSIGNAL);
+			*closed = n < 0 && errno != EAGAIN;
+			fp_loop_run_once(loop, 1000);
+			while (reads && (n = read(fd, buf, sizeof(buf))) > 0)
+				got.append(buf, (size_t)n);
+		}
+		return got;
+	}
+	void run_loop(int ms)
+	{
+		for (int i = 0; i < ms; i++)
+			fp_loop_run_once(loop, 1000);
+	}
+	static void send_text(int fd, const std::string &text)
+	{
+		EXPECT_EQ((ssize_t)text.size(),
+			  send(fd, text.data(), text.size(), MSG_NOSIGNAL));
+	}
+	static std::string read_now(int fd)
+	{
+		char buf[4096];
+		ssize_t n = read(fd, buf, sizeof(buf));
+
+		return std::string(buf, n > 0 ? (size_t)n : 0);
+	}
+
+	struct fp_byte_account *account = nullptr;
 	struct fp_loop *loop = nullptr;
 	struct fp_http_server *server = nullptr;
 	std::vector<std::string> uris;
@@ -138,4 +192,150 @@
 	EXPECT_TRUE(uris.empty());
 }
 
+TEST_F(HttpServer, RefusesAnAnnouncedBodyAtItsHead)
+{
+	bool closed;
+	std::string got =
+		exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001"
+			 "\r\n\r\nabc",
+			 &closed);
+
+	EXPECT_EQ("HTTP/1.1 413", got.substr(0, 12));
+	EXPECT_NE(std::string::npos, got.find("Fulmar-Outcome: not-run"));
+	EXPECT_NE(std::string::npos, got.find("Connection: close"));
+	EXPECT_TRUE(closed);
+	EXPECT_TRUE(uris.empty());
+}
+
+/* The client sends on; it can still read why it was refused. */
+TEST_F(HttpServer, AClientThatSendsOnReadsTheRefusal)
+{
+	const std::string heads[] = {
+		"Content-Length: 100000000\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n",
+	};
+
+	for (const auto &head : heads) {
+		int fd = open_connection();
+		std::string got;
+		bool closed;
+
+		send_text(fd, "POST /a HTTP/1.1\r\nHost: h\r\n");
+		send_text(fd, head);
+		got = flood(fd, "3e8\r\n" + std::string(1000, 'x') + "\r\n",
+			    true, &closed);
+		EXPECT_EQ("HTTP/1.1 413", got.substr(0, 12)) << head;
+		EXPECT_TRUE(closed) << head;
+		close(fd);
+	}
+	EXPECT_TRUE(uris.empty());
+}
+
+TEST_F(HttpServer, EndsAConnectionWhoseClientNeverReads)
+{
+	int fd = open_connection();
+	bool closed;
+
+	send_text(fd, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: "
+		      "99999999\r\n\r\n");
+	flood(fd, std::string(1000, 'x'), false, &closed);
+	EXPECT_TRUE(closed);
+	run_loop(50);
+	EXPECT_EQ(0u, fp_http_server_open_exchanges(server));
+	close(fd);
+}
+
+/* 750 bytes are held twice, so a second body waits until the first ends. */
+TEST_F(HttpServer, ABodyWithoutRoomIsReadLater)
+{
+	const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\n"
+				 "Content-Length: 700\r\n\r\n";
+	int first = open_connection();
+	int second = open_connection();
+
+	send_text(first, head);
+	run_loop(20);
+	send_text(second, head);
+	send_text(second, std::string(700, 'b'));
+	run_loop(50);
+	EXPECT_TRUE(bodies.empty());
+	send_text(first, std::string(700, 'a'));
+	run_loop(300);
+	EXPECT_EQ((std::vector<std::string>{ std::string(700, 'a'),
+					     std::string(700, 'b') }),
+		  bodies);
+	EXPECT_EQ("HTTP/1.1 200", read_now(first).substr(0, 12));
+	EXPECT_EQ("HTTP/1.1 200", read_now(second).substr(0, 12));
+	close(first);
+	close(second);
+}
+
+TEST_F(HttpServer, ABodyInChunksWithoutRoomIsReadLater)
+{
+	const std::string body(700, 'b');
+	int first = open_connection();
+	int second = open_connection();
+
+	send_text(first, "POST /a HTTP/1.1\r\nHost: h\r\n"
+			 "Content-Length: 700\r\n\r\n");
+	run_loop(20);
+	send_text(second, "POST /b HTTP/1.1\r\nHost: h\r\n"
+			  "Transfer-Encoding: chunked\r\n\r\n2bc\r\n" +
+				  body + "\r\n0\r\n\r\n");
+	run_loop(50);
+	EXPECT_TRUE(bodies.empty());
+	send_text(first, std::string(700, 'a'));
+	run_loop(300);
+	EXPECT_EQ((std::vector<std::string>{ "/a", "/b" }), uris);
+	EXPECT_EQ((std::vector<std::string>{ std::string(700, 'a'), body }),
+		  bodies);
+	close(first);
+	close(second);
+}
+
+TEST_F(HttpServer, AStalledBodyGivesWayAndIsToldSo)
+{
+	const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\n"
+				 "Content-Length: 700\r\n\r\n";
+	int first = open_connection();
+	int second = open_connection();
+	std::string got;
+
+	send_text(first, head);
+	send_text(first, "a");
+	run_loop(20);
+	send_text(second, head);
+	send_text(second, std::string(700, 'b'));
+	for (int i = 0; i < 3000 && bodies.empty(); i++)
+		fp_loop_run_once(loop, 1000);
+	EXPECT_EQ(std::vector<std::string>{ std::string(700, 'b') }, bodies);
+	got = read_now(first);
+	EXPECT_EQ("HTTP/1.1 503", got.substr(0, 12));
+	EXPECT_NE(std::string::npos, got.find("Fulmar-Outcome: not-run"));
+	EXPECT_NE(std::string::npos, got.find("Retry-After: "));
+	close(first);
+	close(second);
+}
+
+/* Ten connections are allowed; an idle one is closed for each further one. */
+TEST_F(HttpServer, ANewConnectionIsServedWhenAllAreTaken)
+{
+	std::vector<int> fds;
+	std::string got;
+
+	for (int i = 0; i < 20; i++) {
+		fds.push_back(open_connection());
+		send_text(fds.back(), "GET /a HTTP/1.1\r\n");
+		run_loop(5);
+	}
+	fds.push_back(open_connection());
+	send_text(fds.back(), "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_loop(100);
+	EXPECT_EQ("HTTP/1.1 200", read_now(fds.back()).substr(0, 12));
+	EXPECT_EQ(std::vector<std::string>{ "/b" }, uris);
+	EXPECT_LE(fp_http_server_open_exchanges(server), 10u);
+	for (int fd : fds)
+		close(fd);
+}
+
 } // namespace
