--- a/test/test_e2e_bodies.cc
+++ b/test/test_e2e_bodies.cc
@@ -258,9 +258,9 @@
 	}
 
 	/* An ordinary caller, who tries a few times. */
-	bool is_served(Machine &m)
+	bool is_served(Machine &m, int tries = 5)
 	{
-		for (int i = 0; i < 10; i++) {
+		for (int i = 0; i < tries; i++) {
 			if (call(m, "/deep/x").status == 200)
 				return true;
 			usleep(500000);
@@ -350,7 +350,7 @@
 			},
 			60000));
 		for (auto &m : machines)
-			ASSERT_TRUE(is_served(*m)) << m->id;
+			ASSERT_TRUE(is_served(*m, 60)) << m->id;
 		for (auto &m : machines) {
 			calm_descriptors =
 				std::max(calm_descriptors, descriptors(*m));
