--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -163,13 +163,18 @@
 	free(text);
 }
 
+static int64_t value_of(struct fp_hosted *h, const char *name)
+{
+	return fp_counter_value(fp_counter_get(h->counters, name, ""));
+}
+
 static void reply_status(struct fp_hosted *h, struct fp_http_exchange *x)
 {
 	static const struct fp_http_header type = { "Content-Type",
 						    "application/json" };
 	const struct fp_evacuation *e = fp_directory_evacuation(h->directory);
 	char evacuated[FP_EVACUATION_BYTES];
-	char body[256 + FP_EVACUATION_BYTES];
+	char body[512 + FP_EVACUATION_BYTES];
 	int n;
 
 	fp_evacuation_format(e, evacuated);
@@ -177,11 +182,16 @@
 		     "{\"node\": \"%s\", \"service\": \"%s\", "
 		     "\"config_revision\": %" PRIu64 ", \"members\": %u, "
 		     "\"whole\": %s, \"evacuated\": \"%s\", "
-		     "\"evacuation_revision\": %" PRIu64 "}\n",
+		     "\"evacuation_revision\": %" PRIu64
+		     ", \"held_bytes\": %" PRId64
+		     ", \"held_bytes_limit\": %" PRId64
+		     ", \"bodies_waiting\": %" PRId64 "}\n",
 		     h->settings->name, h->settings->service,
 		     fp_directory_revision(h->directory), h->n_members,
 		     fp_directory_is_ready(h->directory) ? "true" : "false",
-		     evacuated, e->revision);
+		     evacuated, e->revision, value_of(h, "fulmar_held_bytes"),
+		     value_of(h, "fulmar_held_bytes_limit"),
+		     value_of(h, "fulmar_bodies_waiting"));
 
 	fp_http_reply(x, 200, &type, 1, body, (size_t)n);
 }
