Requests of a connection are run while earlier ones are not answered

Callers that pipeline sent their next request before the last answer; the HTTP library read it only after that answer, so each waited for the runs before it, unseen by everything that decides what waits.

GET requests without a body in the strict form of RFC 9112 are now read at once and run side by side, 16 a connection; answers keep the order. A connection goes to the library for good at its first other request, with all of its bytes.

--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -180,6 +180,7 @@
 		.max_body_bytes = s->max_body_bytes,
 		.max_header_bytes = s->max_header_bytes,
 		.max_connections = s->max_connections,
+		.read_ahead = true,
 	};
 	struct fp_http_handler h = { .request = on_caller,
 				     .client_left = on_client_left,
@@ -189,6 +190,7 @@
 
 	if (st != FP_OK)
 		return st;
+	cfg.read_ahead = false;
 	cfg.address = s->local_address;
 	cfg.port = s->local_port;
 	cfg.max_header_bytes *= LOCAL_HEADER_FACTOR;
--- /dev/null
+++ b/src/transport/http_pipeline.c
@@ -0,0 +1,663 @@
+/*
+ * http_pipeline.c - reads the requests of a connection ahead of its answers
+ *
+ * A client that pipelines sends its next request before the last one is
+ * answered. Read one after the other, each such request waits for the complete
+ * run of those before it, unseen by everything that decides what waits and what
+ * is refused. Here requests with a safe method are read at once and run side by
+ * side; RFC 9112 (9.3.2) allows that. Only their answers keep the order.
+ *
+ * The HTTP library reads one request at a time. So a connection starts here, and
+ * is handed to the library, for good, at its first request that is not a GET
+ * without a body in the strict form below. Bytes are peeked at, and taken from
+ * the socket only as complete requests that are run here, so the library gets
+ * each byte of all others. Two readers that disagree about the end of a request
+ * would let one request hide in another; a request with any field that concerns
+ * its length or the connection is therefore never read here.
+ *
+ * Bounds: MAX_TURNS requests a connection; beyond them, or while a client does
+ * not take its answers, the socket is not read, which holds the client back. A
+ * node that stops reads one request at a time, so that the answer that closes a
+ * connection leaves none behind it.
+ */
+#include "transport/http_pipeline.h"
+
+#include <errno.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define MAX_TURNS	  16 /* requests of a connection that are not answered */
+#define PEEK_BYTES	  16384 /* read at once */
+#define MAX_HELD_BYTES	  (256 * 1024) /* unsent, above it nothing is read */
+#define RETRY_US	  (5 * FP_US_PER_MS) /* pause before an incomplete head ... */
+#define RETRIES		  4 /* ... is looked at again, so often */
+#define IDLE_US		  (60 * FP_US_PER_S)
+#define LINGER_US	  (500 * FP_US_PER_MS) /* for the last answer to arrive */
+#define ACCEPTS		  64 /* connections accepted at once */
+#define ANSWER_HEAD_BYTES 256 /* status line and own fields */
+
+struct http_turn {
+	struct connection *conn;
+	struct http_turn *next; /* later request of the connection */
+	void *value;
+	char *answer; /* NULL: not answered */
+	size_t answer_bytes;
+	size_t sent_bytes;
+	bool close_after;
+};
+
+struct connection {
+	struct http_pipeline *p;
+	struct connection *next;
+	struct connection **pprev;
+	int fd;
+	struct fp_watch *watch;
+	struct fp_timer retry;
+	struct http_turn *first;
+	struct http_turn *last;
+	uint32_t n_turns;
+	uint32_t n_retries; /* of the same incomplete head */
+	size_t held_bytes; /* answers not sent */
+	int64_t used_us; /* last request or answer */
+	bool busy; /* a function below is using it; do not free */
+	bool gone; /* failed or closed by the client */
+	bool handing_over; /* reads no more; the library takes it when empty */
+	bool closing; /* the last answer was sent */
+	bool waiting; /* for the rest of a head */
+	uint32_t events; /* watched */
+};
+
+struct http_pipeline {
+	struct fp_loop *loop;
+	struct http_pipeline_handler h;
+	uint32_t max_header_bytes;
+	int listen_fd;
+	struct fp_watch *listener;
+	struct connection *open;
+	uint32_t n_open;
+	bool keep_alive_disabled;
+	time_t date_s; /* that date shows */
+	char date[40];
+};
+
+/* --- request heads --- */
+
+static bool is_token(char c)
+{
+	return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+	       (c >= 'A' && c <= 'Z') || (c && strchr("!#$%&'*+-.^_`|~", c));
+}
+
+static bool is_value(char c)
+{
+	return c == '\t' || ((unsigned char)c >= 0x20 && c != 0x7f);
+}
+
+/* Whether a field leaves the length of the request and the use of its
+ * connection as they are without it. */
+static bool is_harmless(const struct fp_http_header *h)
+{
+	static const char *const barred[] = {
+		"Content-Length",
+		"Transfer-Encoding",
+		"Expect",
+		"Upgrade",
+		"TE",
+		"Trailer",
+		"Keep-Alive",
+		"Proxy-Connection",
+	};
+	size_t i;
+
+	if (strcasecmp(h->name, "Connection") == 0)
+		return strcasecmp(h->value, "keep-alive") == 0;
+	for (i = 0; i < sizeof(barred) / sizeof(barred[0]); i++)
+		if (strcasecmp(h->name, barred[i]) == 0)
+			return false;
+	return true;
+}
+
+/* Parses "name: value" in a line that ends at end. */
+static bool parse_field(char *line, char *end, struct fp_http_header *out)
+{
+	char *at = line;
+	char *value;
+
+	while (at < end && is_token(*at))
+		at++;
+	if (at == line || at == end || *at != ':')
+		return false;
+	*at = '\0';
+	for (value = at + 1; value < end && (*value == ' ' || *value == '\t');)
+		value++;
+	while (end > value && (end[-1] == ' ' || end[-1] == '\t'))
+		end--;
+	for (at = value; at < end; at++)
+		if (!is_value(*at))
+			return false;
+	*end = '\0';
+	out->name = line;
+	out->value = value;
+	return true;
+}
+
+static bool parse_target(char *line, char *end, struct http_head *out)
+{
+	static const char method[] = "GET ";
+	static const char version[] = " HTTP/1.1";
+	size_t method_bytes = sizeof(method) - 1;
+	size_t version_bytes = sizeof(version) - 1;
+	char *at;
+
+	if ((size_t)(end - line) <= method_bytes + version_bytes ||
+	    memcmp(line, method, method_bytes) != 0 ||
+	    memcmp(end - version_bytes, version, version_bytes) != 0 ||
+	    line[method_bytes] != '/')
+		return false;
+	end -= version_bytes;
+	for (at = line + method_bytes; at < end; at++)
+		if (*at <= ' ' || *at == 0x7f)
+			return false;
+	*end = '\0';
+	out->uri = line + method_bytes;
+	return true;
+}
+
+/* Whether these first bytes of a head may become a request for this reader. */
+static bool may_begin(const char *text, size_t bytes)
+{
+	return memcmp(text, "GET /", bytes < 5 ? bytes : 5) == 0;
+}
+
+int32_t http_head_parse(char *text, size_t bytes, struct http_head *out)
+{
+	char *line = text;
+	char *head_end;
+	char *end;
+	uint32_t hosts = 0;
+
+	memset(out, 0, sizeof(*out));
+	if (!may_begin(text, bytes))
+		return -1;
+	head_end = memmem(text, bytes, "\r\n\r\n", 4);
+	if (!head_end)
+		return 0;
+	head_end += 2; /* behind the last field's CRLF */
+	end = memmem(line, (size_t)(head_end - line), "\r\n", 2);
+	if (!parse_target(line, end, out))
+		return -1;
+	for (line = end + 2; line < head_end; line = end + 2) {
+		struct fp_http_header *h = &out->headers[out->n_headers];
+
+		end = memmem(line, (size_t)(head_end - line), "\r\n", 2);
+		if (out->n_headers == HTTP_PIPELINE_MAX_HEADERS - 1 ||
+		    !parse_field(line, end, h) || !is_harmless(h))
+			return -1;
+		hosts += strcasecmp(h->name, "Host") == 0;
+		out->n_headers++;
+	}
+	return hosts == 1 ? (int32_t)(head_end + 2 - text) : -1;
+}
+
+/* --- connections --- */
+
+static void set_events(struct connection *c, uint32_t events)
+{
+	if (events != c->events)
+		fp_watch_set(c->watch, events);
+	c->events = events;
+}
+
+static void turn_free(struct http_turn *t)
+{
+	free(t->answer);
+	free(t);
+}
+
+/* Frees a connection; keep_fd: its descriptor has a new owner. */
+static void connection_free(struct connection *c, bool keep_fd)
+{
+	struct http_pipeline *p = c->p;
+	struct http_turn *t;
+
+	fp_watch_del(c->watch);
+	fp_timer_cancel(p->loop, &c->retry);
+	*c->pprev = c->next;
+	if (c->next)
+		c->next->pprev = c->pprev;
+	p->n_open--;
+	if (!keep_fd)
+		close(c->fd);
+	while ((t = c->first)) {
+		void *value = t->answer ? NULL : t->value;
+
+		c->first = t->next;
+		turn_free(t);
+		if (value)
+			p->h.left(p->h.ctx, value);
+	}
+	free(c);
+}
+
+static uint32_t max_turns(const struct connection *c)
+{
+	return c->p->keep_alive_disabled ? 1 : MAX_TURNS;
+}
+
+static bool may_read(const struct connection *c)
+{
+	return !c->handing_over && !c->waiting &&
+	       (c->closing ||
+		(c->n_turns < max_turns(c) && c->held_bytes < MAX_HELD_BYTES));
+}
+
+/* Sends answers in order until the socket takes no more. */
+static void send_answers(struct connection *c)
+{
+	struct http_turn *t;
+	ssize_t n;
+
+	while ((t = c->first) && t->answer && !c->gone && !c->closing) {
+		n = send(c->fd, t->answer + t->sent_bytes,
+			 t->answer_bytes - t->sent_bytes,
+			 MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (n < 0) {
+			c->gone = errno != EAGAIN && errno != EINTR;
+			return;
+		}
+		t->sent_bytes += (size_t)n;
+		c->held_bytes -= (size_t)n;
+		if (t->sent_bytes < t->answer_bytes)
+			return;
+		c->closing = t->close_after;
+		c->used_us = fp_loop_now_us(c->p->loop);
+		c->first = t->next;
+		if (!c->first)
+			c->last = NULL;
+		c->n_turns--;
+		turn_free(t);
+	}
+	if (c->closing)
+		shutdown(c->fd, SHUT_WR);
+}
+
+/* Ends, hands over or watches a connection, as its state requires; it may be
+ * freed when this returns. */
+static void settle(struct connection *c)
+{
+	struct http_pipeline *p = c->p;
+	bool unsent = c->first && c->first->answer;
+	int fd = c->fd;
+
+	if (c->busy)
+		return;
+	if (c->gone) {
+		connection_free(c, false);
+		return;
+	}
+	if (c->handing_over && !c->first && !c->closing) {
+		connection_free(c, true);
+		p->h.hand_over(p->h.ctx, fd);
+		return;
+	}
+	set_events(c, (may_read(c) ? FP_READABLE : 0) |
+			      (unsent ? FP_WRITABLE : 0));
+}
+
+static void add_turn(struct connection *c, const char *text, size_t bytes)
+{
+	struct http_pipeline *p = c->p;
+	struct http_turn *t = calloc(1, sizeof(*t));
+	char *copy = malloc(bytes + 1);
+	struct http_head head;
+
+	if (!t || !copy)
+		abort();
+	memcpy(copy, text, bytes);
+	copy[bytes] = '\0';
+	http_head_parse(copy, bytes, &head);
+	t->conn = c;
+	if (c->last)
+		c->last->next = t;
+	else
+		c->first = t;
+	c->last = t;
+	c->n_turns++;
+	p->h.request(p->h.ctx, t, copy, &head);
+}
+
+/* Measures the requests at the start of text that may be read now; sets *more
+ * to the result of http_head_parse() for what follows them. */
+static uint32_t measure(const struct connection *c, const char *text,
+			size_t bytes, size_t ends[MAX_TURNS], int32_t *more)
+{
+	uint32_t room = max_turns(c) - c->n_turns;
+	struct http_head head;
+	char copy[PEEK_BYTES];
+	size_t at = 0;
+	uint32_t n = 0;
+
+	memcpy(copy, text, bytes);
+	*more = 0;
+	while (n < room && at < bytes) {
+		*more = http_head_parse(copy + at, bytes - at, &head);
+		if (*more > (int32_t)c->p->max_header_bytes)
+			*more = -1;
+		if (*more <= 0)
+			break;
+		at += (size_t)*more;
+		ends[n++] = at;
+	}
+	return n;
+}
+
+static void on_retry(void *ctx);
+
+/* Waits for the rest of a head, which may be on its way. */
+static void wait_for_rest(struct connection *c, size_t bytes)
+{
+	bool full = bytes >= PEEK_BYTES || bytes >= c->p->max_header_bytes;
+
+	if (!c->first && (full || c->n_retries >= RETRIES)) {
+		c->handing_over = true;
+		return;
+	}
+	c->n_retries++;
+	c->waiting = true;
+	fp_timer_set(c->p->loop, &c->retry,
+		     fp_loop_now_us(c->p->loop) + RETRY_US, on_retry, c);
+}
+
+static void read_requests(struct connection *c)
+{
+	char text[PEEK_BYTES];
+	size_t ends[MAX_TURNS];
+	size_t from = 0;
+	int32_t more;
+	ssize_t bytes;
+	uint32_t n;
+	uint32_t i;
+
+	bytes = recv(c->fd, text, sizeof(text), MSG_PEEK | MSG_DONTWAIT);
+	if (bytes <= 0) {
+		c->gone = bytes == 0 || (errno != EAGAIN && errno != EINTR);
+		return;
+	}
+	n = measure(c, text, (size_t)bytes, ends, &more);
+	if (n && recv(c->fd, text, ends[n - 1], MSG_DONTWAIT) !=
+			 (ssize_t)ends[n - 1]) {
+		c->gone = true;
+		return;
+	}
+	if (n) {
+		c->n_retries = 0;
+		c->used_us = fp_loop_now_us(c->p->loop);
+	}
+	for (i = 0; i < n; from = ends[i++])
+		add_turn(c, text + from, ends[i] - from);
+	if (more < 0)
+		c->handing_over = true;
+	else if (more == 0 && c->n_turns < max_turns(c) && (size_t)bytes > from)
+		wait_for_rest(c, (size_t)bytes - from);
+}
+
+/* Drops what arrives behind the last answer, until the client closes. */
+static void discard(struct connection *c)
+{
+	char text[PEEK_BYTES];
+	ssize_t n = recv(c->fd, text, sizeof(text), MSG_DONTWAIT);
+
+	c->gone = n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+static void on_ready(void *ctx, uint32_t events)
+{
+	struct connection *c = ctx;
+
+	c->busy = true;
+	if (c->closing)
+		discard(c);
+	else if ((events & (FP_READABLE | FP_HANGUP)) && may_read(c))
+		read_requests(c);
+	if (!c->gone)
+		send_answers(c);
+	c->busy = false;
+	settle(c);
+}
+
+static void on_retry(void *ctx)
+{
+	struct connection *c = ctx;
+
+	c->waiting = false;
+	on_ready(c, FP_READABLE);
+}
+
+static void add_connection(struct http_pipeline *p, int fd)
+{
+	struct connection *c = calloc(1, sizeof(*c));
+	int one = 1;
+
+	if (!c)
+		abort();
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	c->p = p;
+	c->fd = fd;
+	c->used_us = fp_loop_now_us(p->loop);
+	c->events = FP_READABLE;
+	if (fp_watch_add(p->loop, fd, c->events, on_ready, c, &c->watch) !=
+	    FP_OK) {
+		close(fd);
+		free(c);
+		return;
+	}
+	c->next = p->open;
+	if (c->next)
+		c->next->pprev = &c->next;
+	c->pprev = &p->open;
+	p->open = c;
+	p->n_open++;
+}
+
+static void on_connections(void *ctx, uint32_t events)
+{
+	struct http_pipeline *p = ctx;
+	int fd;
+	int i;
+
+	(void)events;
+	for (i = 0; i < ACCEPTS; i++) {
+		fd = accept4(p->listen_fd, NULL, NULL,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		if (p->h.may_accept(p->h.ctx, p->n_open))
+			add_connection(p, fd);
+		else
+			close(fd);
+	}
+}
+
+/* --- interface --- */
+
+enum fp_status http_pipeline_init(struct fp_loop *l, int listen_fd,
+				  uint32_t max_header_bytes,
+				  const struct http_pipeline_handler *h,
+				  struct http_pipeline **out)
+{
+	struct http_pipeline *p = calloc(1, sizeof(*p));
+	enum fp_status st;
+
+	if (!p)
+		return fp_fail(FP_NOMEM, "out of memory");
+	p->loop = l;
+	p->h = *h;
+	p->max_header_bytes = max_header_bytes;
+	p->listen_fd = listen_fd;
+	st = fp_watch_add(l, listen_fd, FP_READABLE, on_connections, p,
+			  &p->listener);
+	if (st != FP_OK) {
+		free(p);
+		return st;
+	}
+	*out = p;
+	return FP_OK;
+}
+
+void http_pipeline_set(struct http_turn *turn, void *value)
+{
+	turn->value = value;
+}
+
+static bool has_body(int status)
+{
+	return status >= 200 && status != 204 && status != 304;
+}
+
+/* Whether a field of an answer is set here. */
+static bool is_own_field(const char *name)
+{
+	return strcasecmp(name, "Content-Length") == 0 ||
+	       strcasecmp(name, "Transfer-Encoding") == 0 ||
+	       strcasecmp(name, "Connection") == 0;
+}
+
+static const char *date(struct http_pipeline *p)
+{
+	time_t now_s = time(NULL);
+	struct tm tm;
+
+	if (now_s != p->date_s && gmtime_r(&now_s, &tm)) {
+		strftime(p->date, sizeof(p->date), "%a, %d %b %Y %H:%M:%S GMT",
+			 &tm);
+		p->date_s = now_s;
+	}
+	return p->date;
+}
+
+static void format_answer(struct http_turn *t, int status,
+			  const struct fp_http_header *h, uint32_t n,
+			  const void *body, size_t body_bytes)
+{
+	size_t size = ANSWER_HEAD_BYTES + body_bytes;
+	uint32_t i;
+	char *at;
+
+	for (i = 0; i < n; i++)
+		size += strlen(h[i].name) + strlen(h[i].value) + 4;
+	at = t->answer = malloc(size);
+	if (!at)
+		abort();
+	at += snprintf(at, ANSWER_HEAD_BYTES,
+		       "HTTP/1.1 %d %.40s\r\nDate: %s\r\n", status,
+		       MHD_get_reason_phrase_for((unsigned int)status),
+		       date(t->conn->p));
+	if (has_body(status))
+		at += snprintf(at, 40, "Content-Length: %zu\r\n", body_bytes);
+	if (t->close_after)
+		at += snprintf(at, 24, "Connection: close\r\n");
+	for (i = 0; i < n; i++)
+		if (!is_own_field(h[i].name))
+			at += sprintf(at, "%s: %s\r\n", h[i].name, h[i].value);
+	memcpy(at, "\r\n", 2);
+	at += 2;
+	if (has_body(status) && body_bytes) {
+		memcpy(at, body, body_bytes);
+		at += body_bytes;
+	}
+	t->answer_bytes = (size_t)(at - t->answer);
+}
+
+void http_pipeline_answer(struct http_turn *turn, int status,
+			  const struct fp_http_header *headers,
+			  uint32_t n_headers, const void *body,
+			  size_t body_bytes)
+{
+	struct connection *c = turn->conn;
+
+	turn->close_after =
+		c->p->keep_alive_disabled && !turn->next && !c->handing_over;
+	format_answer(turn, status, headers, n_headers, body, body_bytes);
+	c->held_bytes += turn->answer_bytes;
+	if (c->busy)
+		return; /* on_ready() sends it */
+	c->busy = true;
+	send_answers(c);
+	c->busy = false;
+	settle(c);
+}
+
+/* Requests that are not read may hide the end of the connection. */
+static bool client_left(const struct connection *c)
+{
+	struct pollfd end = { .fd = c->fd, .events = POLLRDHUP };
+	char byte;
+	ssize_t n;
+
+	if (poll(&end, 1, 0) > 0)
+		return true;
+	n = recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+void http_pipeline_sweep(struct http_pipeline *p)
+{
+	int64_t now_us = fp_loop_now_us(p->loop);
+	struct connection *c;
+	struct connection *next;
+
+	for (c = p->open; c; c = next) {
+		next = c->next;
+		if (c->closing)
+			c->gone = c->gone || now_us - c->used_us > LINGER_US;
+		else if (!c->first)
+			c->gone = now_us - c->used_us > IDLE_US;
+		else if (!(c->events & FP_READABLE))
+			c->gone = client_left(c);
+		if (c->gone)
+			settle(c);
+	}
+}
+
+void http_pipeline_quiesce(struct http_pipeline *p)
+{
+	if (p->listener)
+		fp_watch_del(p->listener);
+	p->listener = NULL;
+}
+
+void http_pipeline_disable_keep_alive(struct http_pipeline *p)
+{
+	struct connection *c;
+
+	p->keep_alive_disabled = true;
+	for (c = p->open; c; c = c->next)
+		set_events(c,
+			   (may_read(c) ? FP_READABLE : 0) |
+				   (c->first && c->first->answer ? FP_WRITABLE :
+								   0));
+}
+
+void http_pipeline_end(struct http_pipeline *p)
+{
+	struct connection *c;
+	struct connection *next;
+
+	if (!p)
+		return;
+	http_pipeline_quiesce(p);
+	for (c = p->open; c; c = next) {
+		next = c->next;
+		connection_free(c, false);
+	}
+	free(p);
+}
--- /dev/null
+++ b/src/transport/http_pipeline.h
@@ -0,0 +1,82 @@
+/* http_pipeline.h - connections whose requests are read while earlier ones of
+ * the same connection are not answered yet (transport-private) */
+#ifndef FP_TRANSPORT_HTTP_PIPELINE_H
+#define FP_TRANSPORT_HTTP_PIPELINE_H
+
+#include "transport/http_server.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** Maximum number of header fields of a request that is read here. */
+#define HTTP_PIPELINE_MAX_HEADERS 64
+
+struct http_pipeline;
+/** The place of one request in the order of its connection. */
+struct http_turn;
+
+/** A request head, parsed in place. */
+struct http_head {
+	const char *uri;
+	struct fp_http_header headers[HTTP_PIPELINE_MAX_HEADERS];
+	uint32_t n_headers;
+};
+
+struct http_pipeline_handler {
+	/** A request arrived. text holds the texts of head and is the handler's
+	 * to free. The handler must call http_pipeline_answer() once, unless
+	 * left() is called for the value that it returns. */
+	void (*request)(void *ctx, struct http_turn *turn, char *text,
+			const struct http_head *head);
+	/** The client left before the request with this value was answered; its
+	 *  turn is gone. */
+	void (*left)(void *ctx, void *value);
+	/** Takes over a connection whose next request is not read here. */
+	void (*hand_over)(void *ctx, int fd);
+	/** Whether one more connection may be accepted. */
+	bool (*may_accept)(void *ctx, uint32_t n_open);
+	void *ctx;
+};
+
+/**
+ * Parses one request without a body.
+ *
+ * Only a GET request in the strict form of RFC 9112 whose head cannot be read
+ * in two ways is accepted; on success its texts are terminated in place.
+ *
+ * @return bytes of the head; 0: it is incomplete; -1: it is not for this reader
+ */
+int32_t http_head_parse(char *text, size_t bytes, struct http_head *out);
+
+/** Accepts connections of a listening descriptor, which the caller owns. */
+enum fp_status http_pipeline_init(struct fp_loop *l, int listen_fd,
+				  uint32_t max_header_bytes,
+				  const struct http_pipeline_handler *h,
+				  struct http_pipeline **out);
+
+/** Sets the value that identifies the request at left(). */
+void http_pipeline_set(struct http_turn *turn, void *value);
+
+/** Answers a request; answers are sent in the order of the requests. */
+void http_pipeline_answer(struct http_turn *turn, int status,
+			  const struct fp_http_header *headers,
+			  uint32_t n_headers, const void *body,
+			  size_t body_bytes);
+
+/** Detects clients that left, and closes connections idle for too long. */
+void http_pipeline_sweep(struct http_pipeline *p);
+
+/** Stops accepting; open connections are kept. */
+void http_pipeline_quiesce(struct http_pipeline *p);
+
+/** Closes each connection once it has no request to answer. */
+void http_pipeline_disable_keep_alive(struct http_pipeline *p);
+
+/** Closes all connections; accepts NULL. */
+void http_pipeline_end(struct http_pipeline *p);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -25,6 +25,7 @@
 #include <unistd.h>
 
 #include "transport/http_framing.h"
+#include "transport/http_pipeline.h"
 
 #define SWEEP_US	 (100 * FP_US_PER_MS) /* period of on_sweep() */
 #define IDLE_TIMEOUT_S	 60
@@ -45,6 +46,8 @@
 struct fp_http_exchange {
 	struct fp_http_server *server;
 	struct MHD_Connection *conn;
+	struct http_turn *turn; /* of a request that the library did not read */
+	char *text; /* of such a request */
 	enum exchange_state state;
 	bool suspended;
 	bool in_handler; /* the request callback is on the stack */
@@ -67,6 +70,7 @@
 struct fp_http_server {
 	struct fp_loop *loop;
 	struct MHD_Daemon *daemon;
+	struct http_pipeline *pipeline; /* NULL: the library accepts */
 	struct fp_http_handler handler;
 	struct fp_http_server_config cfg;
 	struct fp_watch *watch;
@@ -159,6 +163,7 @@
 		MHD_destroy_response(x->response);
 	free(x->uri);
 	free(x->body);
+	free(x->text);
 	free(x);
 }
 
@@ -376,7 +381,10 @@
 {
 	struct fp_http_server *s = x->server;
 
-	if (x->ended) {
+	if (x->turn)
+		http_pipeline_answer(x->turn, status, headers, n_headers, body,
+				     body_bytes);
+	if (x->ended || x->turn) {
 		exchange_free(x);
 		return;
 	}
@@ -403,6 +411,63 @@
 	return x->value;
 }
 
+/* --- requests that the library does not read --- */
+
+static void on_pipelined(void *ctx, struct http_turn *turn, char *text,
+			 const struct http_head *head)
+{
+	struct fp_http_server *s = ctx;
+	struct fp_http_exchange *x = calloc(1, sizeof(*x));
+	struct fp_http_request r = { .method = "GET",
+				     .uri = head->uri,
+				     .headers = x ? x->headers : NULL,
+				     .n_headers = head->n_headers };
+
+	if (!x)
+		abort();
+	x->server = s;
+	x->turn = turn;
+	x->text = text;
+	x->state = WAITING;
+	memcpy(x->headers, head->headers,
+	       head->n_headers * sizeof(head->headers[0]));
+	x->n_headers = head->n_headers;
+	exchange_link(s, x);
+	http_pipeline_set(turn, x);
+	s->handler.request(s->handler.ctx, x, &r);
+}
+
+static void on_pipelined_left(void *ctx, void *value)
+{
+	struct fp_http_exchange *x = value;
+
+	(void)ctx;
+	x->turn = NULL;
+	x->ended = true;
+	notify_client_left(x);
+}
+
+static void on_hand_over(void *ctx, int fd)
+{
+	struct fp_http_server *s = ctx;
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sin);
+
+	getpeername(fd, (struct sockaddr *)&sin, &len);
+	MHD_add_connection(s->daemon, fd, (struct sockaddr *)&sin, sizeof(sin));
+	s->run_pending = true;
+}
+
+static bool may_accept(void *ctx, uint32_t n_open)
+{
+	struct fp_http_server *s = ctx;
+	const union MHD_DaemonInfo *info = MHD_get_daemon_info(
+		s->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+	return n_open + (info ? info->num_connections : 0) <
+	       s->cfg.max_connections;
+}
+
 /* --- clients that disconnected --- */
 
 static bool client_left(struct fp_http_exchange *x)
@@ -431,6 +496,8 @@
 		if (x->suspended && !x->left_notified && client_left(x))
 			notify_client_left(x);
 	}
+	if (s->pipeline)
+		http_pipeline_sweep(s->pipeline);
 	fp_timer_set(s->loop, &s->sweep, fp_loop_now_us(s->loop) + SWEEP_US,
 		     on_sweep, s);
 }
@@ -487,13 +554,29 @@
 
 static enum fp_status start_library(struct fp_http_server *s)
 {
+	const struct http_pipeline_handler h = { .request = on_pipelined,
+						 .left = on_pipelined_left,
+						 .hand_over = on_hand_over,
+						 .may_accept = may_accept,
+						 .ctx = s };
 	const union MHD_DaemonInfo *info;
+	unsigned int flags =
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+	const struct MHD_OptionItem no_socket[] = { { MHD_OPTION_END, 0,
+						      NULL } };
+	const struct MHD_OptionItem socket[] = {
+		{ MHD_OPTION_LISTEN_SOCKET, s->listen_fd, NULL },
+		{ MHD_OPTION_END, 0, NULL },
+	};
+	enum fp_status st = FP_OK;
 	size_t memory = (size_t)s->cfg.max_header_bytes + MEMORY_HEAD_EXTRA;
 
+	if (s->cfg.read_ahead)
+		flags |= MHD_USE_NO_LISTEN_SOCKET;
 	s->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0,
-		NULL, NULL, on_access, s, MHD_OPTION_EXTERNAL_LOGGER,
-		on_library_message, s, MHD_OPTION_LISTEN_SOCKET, s->listen_fd,
+		flags, 0, NULL, NULL, on_access, s, MHD_OPTION_EXTERNAL_LOGGER,
+		on_library_message, s, MHD_OPTION_ARRAY,
+		s->cfg.read_ahead ? no_socket : socket,
 		MHD_OPTION_CONNECTION_LIMIT,
 		(unsigned int)s->cfg.max_connections,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
@@ -507,6 +590,12 @@
 	info = MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
 	if (!info)
 		return fp_fail(FP_IO, "the HTTP library has no epoll support");
+	if (s->cfg.read_ahead)
+		st = http_pipeline_init(s->loop, s->listen_fd,
+					s->cfg.max_header_bytes, &h,
+					&s->pipeline);
+	if (st != FP_OK)
+		return st;
 	return fp_watch_add(s->loop, info->epoll_fd, FP_READABLE, on_ready, s,
 			    &s->watch);
 }
@@ -546,6 +635,8 @@
 void fp_http_server_disable_keep_alive(struct fp_http_server *s)
 {
 	s->keep_alive_disabled = true;
+	if (s->pipeline)
+		http_pipeline_disable_keep_alive(s->pipeline);
 }
 
 void fp_http_server_quiesce(struct fp_http_server *s)
@@ -555,7 +646,9 @@
 	if (s->quiesced)
 		return;
 	s->quiesced = true;
-	fd = MHD_quiesce_daemon(s->daemon);
+	fd = s->pipeline ? s->listen_fd : MHD_quiesce_daemon(s->daemon);
+	if (s->pipeline)
+		http_pipeline_quiesce(s->pipeline);
 	if (fd >= 0)
 		close(fd);
 	s->listen_fd = -1;
@@ -591,12 +684,14 @@
 		fp_watch_del(s->watch);
 	fp_timer_cancel(s->loop, &s->timeout);
 	fp_timer_cancel(s->loop, &s->sweep);
+	s->handler.client_left = NULL;
+	http_pipeline_end(s->pipeline);
 	if (s->daemon) {
 		resume_suspended(s);
 		MHD_stop_daemon(s->daemon);
-	} else if (s->listen_fd >= 0) {
-		close(s->listen_fd);
 	}
+	if (s->listen_fd >= 0 && (!s->daemon || s->pipeline))
+		close(s->listen_fd);
 	for (x = s->open; x; x = next) {
 		next = x->next;
 		exchange_free(x);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -2,6 +2,7 @@
 #ifndef FP_TRANSPORT_HTTP_SERVER_H
 #define FP_TRANSPORT_HTTP_SERVER_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -55,6 +56,9 @@
 	uint32_t max_body_bytes;
 	uint32_t max_header_bytes;
 	uint32_t max_connections;
+	/** Requests are read and run while earlier ones of their connection are
+	 * not answered yet, where http_pipeline.h allows it. */
+	bool read_ahead;
 };
 
 /**
--- /dev/null
+++ b/test/test_http_pipeline.cc
@@ -0,0 +1,367 @@
+/* test_http_pipeline.cc - requests read while earlier ones of the same
+ * connection are not answered yet */
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "transport/http_pipeline.h"
+#include "transport/http_server.h"
+
+namespace
+{
+
+int32_t parse(const std::string &text)
+{
+	struct http_head head;
+	std::string copy = text;
+
+	return http_head_parse(&copy[0], copy.size(), &head);
+}
+
+TEST(HttpHead, ParsesARequestAndItsFields)
+{
+	std::string text =
+		"GET /a?b=%20 HTTP/1.1\r\nHost: h\r\n"
+		"Connection: Keep-Alive\r\nX-Y:\t v w \r\nZ:\r\n\r\n";
+	size_t bytes = text.size();
+	struct http_head head;
+
+	text += "GET /next";
+	ASSERT_EQ((int32_t)bytes,
+		  http_head_parse(&text[0], text.size(), &head));
+	EXPECT_STREQ("/a?b=%20", head.uri);
+	ASSERT_EQ(4u, head.n_headers);
+	EXPECT_STREQ("X-Y", head.headers[2].name);
+	EXPECT_STREQ("v w", head.headers[2].value);
+	EXPECT_STREQ("", head.headers[3].value);
+}
+
+TEST(HttpHead, EveryPrefixIsIncomplete)
+{
+	std::string text = "GET /a HTTP/1.1\r\nHost: h\r\nA: b\r\n\r\n";
+
+	for (size_t n = 1; n < text.size(); n++)
+		EXPECT_EQ(0, parse(text.substr(0, n))) << n;
+}
+
+TEST(HttpHead, LeavesEverythingElseToTheLibrary)
+{
+	const std::string first = "GET /a HTTP/1.1\r\n";
+	const std::string heads[] = {
+		"POST /a HTTP/1.1\r\nHost: h\r\n\r\n",
+		"GET a HTTP/1.1\r\nHost: h\r\n\r\n",
+		"GET /a HTTP/1.0\r\nHost: h\r\n\r\n",
+		"GET /a b HTTP/1.1\r\nHost: h\r\n\r\n",
+		"GET /a\nHost: h\r\n\r\n",
+		first + "\r\n",
+		first + "Host: h\r\nHost: i\r\n\r\n",
+		first + "Host: h\r\nContent-Length: 3\r\n\r\n",
+		first + "Host: h\r\ncontent-length: 0\r\n\r\n",
+		first + "Host: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+		first + "Host: h\r\nTransfer-Encoding : chunked\r\n\r\n",
+		first + "Host: h\r\nExpect: 100-continue\r\n\r\n",
+		first + "Host: h\r\nUpgrade: h2c\r\n\r\n",
+		first + "Host: h\r\nConnection: close\r\n\r\n",
+		first + "Host: h\r\nA: b\r\n folded\r\n\r\n",
+		first + "Host: h\r\nA: b\nContent-Length: 3\r\n\r\n",
+		first + "Host: h\r\nA: b\rContent-Length: 3\r\n\r\n",
+		first + "Host: h\r\nA: b\177\r\n\r\n",
+		first + "Host: h\r\n: b\r\n\r\n",
+		first + "Host: h\r\nA b\r\n\r\n",
+		first + std::string("Host: h\r\nA: b\0c\r\n\r\n", 19),
+	};
+
+	for (const auto &head : heads)
+		EXPECT_EQ(-1, parse(head)) << head;
+}
+
+class HttpPipeline : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		struct fp_http_server_config cfg = {};
+		struct fp_http_handler h = {};
+
+		cfg.address = "127.0.0.1";
+		cfg.max_body_bytes = 1000;
+		cfg.max_header_bytes = 4096;
+		cfg.max_connections = 3;
+		cfg.read_ahead = true;
+		h.request = [](void *ctx, struct fp_http_exchange *x,
+			       const struct fp_http_request *r) {
+			auto *t = static_cast<HttpPipeline *>(ctx);
+			std::string uri = r->uri;
+
+			t->uris.push_back(uri);
+			t->bodies.emplace_back((const char *)r->body,
+					       r->body_bytes);
+			t->waiting[uri] = x;
+			if (uri.find("now") != std::string::npos)
+				t->answer(uri);
+		};
+		h.client_left = [](void *ctx, struct fp_http_exchange *x) {
+			auto *t = static_cast<HttpPipeline *>(ctx);
+
+			t->n_left++;
+			for (auto &w : t->waiting)
+				if (w.second == x) {
+					t->waiting.erase(w.first);
+					break;
+				}
+			fp_http_reply(x, 503, nullptr, 0, nullptr, 0);
+		};
+		h.ctx = this;
+		ASSERT_EQ(FP_OK, fp_loop_init(fp_system_clock(), &loop));
+		ASSERT_EQ(FP_OK, fp_http_server_init(loop, &cfg, &h, &server));
+	}
+	void TearDown() override
+	{
+		if (fd >= 0)
+			close(fd);
+		fp_http_server_end(server);
+		fp_loop_end(loop);
+	}
+	int open_connection()
+	{
+		struct sockaddr_in sin = {};
+		int s = socket(AF_INET, SOCK_STREAM, 0);
+
+		sin.sin_family = AF_INET;
+		sin.sin_port = htons(fp_http_server_port(server));
+		inet_pton(AF_INET, "127.0.0.1", &sin.sin_addr);
+		EXPECT_EQ(0, connect(s, (struct sockaddr *)&sin, sizeof(sin)));
+		fcntl(s, F_SETFL, O_NONBLOCK);
+		return s;
+	}
+	void send_text(const std::string &text)
+	{
+		if (fd < 0)
+			fd = open_connection();
+		ASSERT_EQ((ssize_t)text.size(),
+			  send(fd, text.data(), text.size(), MSG_NOSIGNAL));
+		run();
+	}
+	void run(int n = 30)
+	{
+		char buf[65536];
+		ssize_t bytes;
+
+		for (int i = 0; i < n; i++) {
+			fp_loop_run_once(loop, 1000);
+			if (fd < 0 || paused)
+				continue;
+			bytes = read(fd, buf, sizeof(buf));
+			if (bytes > 0)
+				got.append(buf, (size_t)bytes);
+			closed |= bytes == 0 ||
+				  (bytes < 0 && errno == ECONNRESET);
+		}
+	}
+	void answer(const std::string &uri, const std::string &body = "")
+	{
+		std::string text = body.empty() ? "<" + uri + ">" : body;
+		struct fp_http_header h = { "X-For", uri.c_str() };
+		struct fp_http_exchange *x = waiting[uri];
+
+		waiting.erase(uri);
+		fp_http_reply(x, 200, &h, 1, text.data(), text.size());
+	}
+	static std::string get(const std::string &uri)
+	{
+		return "GET " + uri + " HTTP/1.1\r\nHost: h\r\n\r\n";
+	}
+	/* The bodies "<...>" received so far, in order. */
+	std::string order() const
+	{
+		std::string all;
+
+		for (size_t at = 0; (at = got.find('<', at)) != got.npos; at++)
+			all += got.substr(at, got.find('>', at) + 1 - at);
+		return all;
+	}
+
+	struct fp_loop *loop = nullptr;
+	struct fp_http_server *server = nullptr;
+	std::vector<std::string> uris;
+	std::vector<std::string> bodies;
+	std::map<std::string, struct fp_http_exchange *> waiting;
+	std::string got;
+	int n_left = 0;
+	int fd = -1;
+	bool closed = false;
+	bool paused = false; /* the client takes no answers */
+};
+
+TEST_F(HttpPipeline, RunsSideBySideAndAnswersInOrder)
+{
+	send_text(get("/1") + get("/2") + get("/3"));
+	ASSERT_EQ(3u, waiting.size());
+	answer("/3");
+	answer("/2");
+	run();
+	EXPECT_EQ("", got);
+	answer("/1");
+	run();
+	EXPECT_EQ("</1></2></3>", order());
+	EXPECT_NE(std::string::npos, got.find("X-For: /2\r\n"));
+	EXPECT_EQ(0u, got.find("HTTP/1.1 200 OK\r\nDate: "));
+	send_text(get("/4-now"));
+	EXPECT_EQ("</1></2></3></4-now>", order());
+	EXPECT_FALSE(closed);
+}
+
+TEST_F(HttpPipeline, HeadInPiecesWaitsForItsRest)
+{
+	std::string text = get("/1") + get("/2");
+
+	for (char c : text)
+		send_text(std::string(1, c));
+	run(100);
+	if (waiting.count("/1"))
+		answer("/1");
+	run(100);
+	if (waiting.count("/2"))
+		answer("/2");
+	run(100);
+	EXPECT_EQ("</1></2>", order());
+	EXPECT_EQ(2u, uris.size());
+}
+
+TEST_F(HttpPipeline, OtherRequestsGoToTheLibraryAfterTheAnswersBefore)
+{
+	send_text(get("/1") +
+		  "POST /2 HTTP/1.1\r\nHost: h\r\n"
+		  "Content-Length: 3\r\n\r\nabc" +
+		  get("/3-now"));
+	EXPECT_EQ((std::vector<std::string>{ "/1" }), uris);
+	answer("/1");
+	run();
+	ASSERT_EQ((std::vector<std::string>{ "/1", "/2" }), uris);
+	EXPECT_EQ("abc", bodies[1]);
+	answer("/2");
+	run();
+	EXPECT_EQ("</1></2></3-now>", order());
+	EXPECT_FALSE(closed);
+}
+
+TEST_F(HttpPipeline, RequestInABodyIsNotRun)
+{
+	send_text(get("/1-now") +
+		  "GET /2 HTTP/1.1\r\nHost: h\r\n"
+		  "Content-Length: 4\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+		  get("/smuggled-now"));
+	run(100);
+	EXPECT_EQ((std::vector<std::string>{ "/1-now" }), uris);
+	EXPECT_NE(std::string::npos, got.find("HTTP/1.1 400"));
+	EXPECT_TRUE(closed);
+}
+
+TEST_F(HttpPipeline, RequestsAheadAreBounded)
+{
+	std::string text;
+
+	for (int i = 0; i < 40; i++)
+		text += get("/" + std::to_string(i));
+	send_text(text);
+	EXPECT_EQ(16u, waiting.size());
+	answer("/0");
+	run();
+	EXPECT_EQ(16u, waiting.size());
+	EXPECT_EQ(17u, uris.size());
+	for (int i = 1; i < 40; i++) {
+		answer("/" + std::to_string(i));
+		run(3);
+	}
+	EXPECT_EQ(40u, uris.size());
+	EXPECT_NE(std::string::npos, order().find("</38></39>"));
+}
+
+TEST_F(HttpPipeline, NothingIsReadWhileAnswersAreNotTaken)
+{
+	std::string big(4 << 20, 'x');
+
+	paused = true;
+	send_text(get("/1") + get("/2"));
+	answer("/1", big);
+	run();
+	answer("/2", big);
+	send_text(get("/3-now"));
+	EXPECT_EQ(2u, uris.size());
+	paused = false;
+	run(3000);
+	EXPECT_EQ(3u, uris.size());
+	EXPECT_EQ("</3-now>", order());
+	EXPECT_GT(got.size(), 2 * big.size());
+}
+
+TEST_F(HttpPipeline, AllRequestsOfAClientThatLeftAreNotified)
+{
+	send_text(get("/1") + get("/2"));
+	close(fd);
+	fd = -1;
+	run(200);
+	EXPECT_EQ(2, n_left);
+	EXPECT_EQ(0u, fp_http_server_open_exchanges(server));
+}
+
+TEST_F(HttpPipeline, AClientThatLeftIsNoticedBehindRequestsThatAreNotRead)
+{
+	std::string text;
+
+	for (int i = 0; i < 20; i++)
+		text += get("/" + std::to_string(i));
+	send_text(text);
+	EXPECT_EQ(16u, waiting.size());
+	shutdown(fd, SHUT_WR);
+	run(200);
+	EXPECT_EQ(16, n_left);
+}
+
+TEST_F(HttpPipeline, StoppingNodeAnswersWhatItReadAndCloses)
+{
+	send_text(get("/1") + get("/2"));
+	fp_http_server_disable_keep_alive(server);
+	send_text(get("/3"));
+	EXPECT_EQ(2u, uris.size());
+	answer("/1");
+	run();
+	EXPECT_EQ(std::string::npos, got.find("Connection: close"));
+	answer("/2");
+	run(300);
+	EXPECT_EQ("</1></2>", order());
+	EXPECT_NE(std::string::npos, got.find("Connection: close"));
+	EXPECT_EQ(2u, uris.size());
+	EXPECT_TRUE(closed);
+}
+
+TEST_F(HttpPipeline, ConnectionsAreBounded)
+{
+	std::vector<int> fds;
+
+	for (int i = 0; i < 4; i++) {
+		fds.push_back(open_connection());
+		run(3);
+	}
+	char byte;
+
+	errno = 0;
+	EXPECT_LT(read(fds[0], &byte, 1), 0);
+	EXPECT_EQ(EAGAIN, errno);
+	EXPECT_EQ(0, read(fds[3], &byte, 1));
+	for (int s : fds)
+		close(s);
+}
+
+} // namespace
