A full local worker loses to a less full remote one

The load by which a node prefers its own failure domain counts its own calls and the advertised queue, not the running calls of other nodes. Where the callers of a service are not spread over the domains like its workers are, a near worker filled until its queue did, refused, and the entries of that domain turned roots away, while remote workers had room. A local worker that advertises 90 % of its limit now loses to a remote one that is less full.

--- a/src/state/balancer.c
+++ b/src/state/balancer.c
@@ -11,7 +11,10 @@
  *
  * The pair is drawn among the workers of this node's failure domain first. A
  * pair from other domains is drawn only if the local worker is busy, and its
- * winner is taken only if the local one is noticeably more loaded.
+ * winner is taken only if the local one is noticeably more loaded, or full with
+ * the calls of all nodes while the remote one is less full: nodes are not spread
+ * over the domains like the workers of each service are, and a node's own calls
+ * in flight show nothing of the others'.
  *
  * A worker that fails its calls is ejected for a time that doubles with each
  * ejection. When the time is over, one call at a time probes it. Its health
@@ -49,7 +52,10 @@
 /* A remote worker wins if the local load exceeds its load times this ... */
 #define REMOTE_FACTOR 1.25
 #define REMOTE_MARGIN 0.1 /* ... plus this */
-#define FAIL_WEIGHT   0.2 /* smoothing of failures and refusals, per call */
+/* a local worker this full (running and queued over its limit) loses to any
+ * remote one that is less full */
+#define LOCAL_FULL  0.9
+#define FAIL_WEIGHT 0.2 /* smoothing of failures and refusals, per call */
 /* smoothed failure rate that ejects: five in a row */
 #define FAIL_EJECT 0.6
 /* a better worker's failure rate is below this times the other's */
@@ -76,6 +82,7 @@
 	double refused; /* smoothed fraction refused for load */
 	uint32_t limit; /* advertised */
 	uint32_t queued; /* advertised */
+	uint32_t running; /* advertised: of all callers */
 	int64_t load_us; /* time of the advertised values */
 	int64_t ejected_until_us; /* 0: not ejected */
 	int64_t ejection_us; /* length of the last ejection; 0: none */
@@ -295,6 +302,15 @@
 	       FAIL_LOAD * w->failed + w->refused;
 }
 
+/* Running and queued requests of all callers over the limit, as advertised; 0
+ * when that is not known. */
+static double fill_of(const struct worker *w, int64_t now_us)
+{
+	if (!w->limit || now_us - w->load_us > LOAD_VALID_US)
+		return 0;
+	return ((double)w->running + w->queued) / w->limit;
+}
+
 static bool is_stalled(const struct worker *w, int64_t now_us)
 {
 	int64_t longest = STALL_FACTOR * w->latency_us;
@@ -419,13 +435,20 @@
 	struct worker *near = draw_two(p, local);
 	struct worker *far;
 	double load;
+	double fill;
 
 	if (!near || remote->n == 0)
 		return near ? near : draw_two(p, remote);
 	load = load_of(near, p->now_us);
-	if (load < LOCAL_BUSY)
+	fill = fill_of(near, p->now_us);
+	if (load < LOCAL_BUSY && fill < LOCAL_FULL)
 		return near;
 	far = draw_two(p, remote);
+	if (fill >= LOCAL_FULL && fill_of(far, p->now_us) < fill &&
+	    load_of(far, p->now_us) < LOCAL_FULL)
+		return far;
+	if (load < LOCAL_BUSY)
+		return near;
 	return load > REMOTE_FACTOR * load_of(far, p->now_us) + REMOTE_MARGIN ?
 		       far :
 		       near;
@@ -574,6 +597,7 @@
 	if (load) {
 		w->limit = load->limit;
 		w->queued = load->queued;
+		w->running = load->running;
 		w->load_us = now_us;
 	}
 	if (result == FP_BALANCER_CANCELLED)
--- a/test/test_balancer.cc
+++ b/test/test_balancer.cc
@@ -116,6 +116,41 @@
 	EXPECT_GT(f.pick_fraction(3) + f.pick_fraction(4), 0.95);
 }
 
+/* Calls of other nodes fill the local workers; this node's own calls do not
+ * show it. */
+TEST(Balancer, AFullLocalWorkerLosesToALessFullRemoteOne)
+{
+	sim_fleet f;
+	struct fp_admission_load full = { 20, 19, 0, 0, { 0, 0, 0 } };
+	struct fp_admission_load half = { 20, 10, 0, 0, { 0, 0, 0 } };
+	struct fp_admission_load busy = { 20, 15, 0, 0, { 0, 0, 0 } };
+	auto advertise = [&f](uint64_t id, struct fp_admission_load *load) {
+		fp_balancer_call_ended(f.c, id, FP_BALANCER_CANCELLED, 0, load,
+				       f.now_us);
+	};
+
+	for (uint64_t id = 1; id <= 4; id++)
+		f.put(id, id <= 2 ? "a" : "b");
+	f.run_s(2);
+	for (uint64_t id = 1; id <= 4; id++)
+		advertise(id, id <= 2 ? &full : &half);
+	f.run_s(1);
+	EXPECT_GT(f.pick_fraction(3) + f.pick_fraction(4), 0.95);
+	for (uint64_t id = 1; id <= 4; id++)
+		advertise(id, &full);
+	f.run_s(1);
+	EXPECT_EQ(0, f.picked[3] + f.picked[4]);
+	for (uint64_t id = 1; id <= 4; id++)
+		advertise(id, id <= 2 ? &busy : &half);
+	f.run_s(1);
+	EXPECT_EQ(0, f.picked[3] + f.picked[4]);
+	advertise(1, &full);
+	advertise(2, &full);
+	f.failing = { 3, 4 };
+	f.run_s(1);
+	EXPECT_LT(f.pick_fraction(3) + f.pick_fraction(4), 0.1);
+}
+
 TEST(Balancer, ColdWorkerRampsUp)
 {
 	sim_fleet f;
