--- a/src/transport/http_intake.c
+++ b/src/transport/http_intake.c
@@ -106,26 +106,26 @@
 	resume(x);
 }
 
-/* Closes a connection in favour of a new one. */
-static void close_idle(struct fp_http_server *s)
+bool intake_close_idle(struct fp_http_server *s)
 {
 	struct fp_byte_connection *b =
 		fp_byte_pick_idle(s->cfg.account, s->connections);
 	struct connection *c = (struct connection *)b;
 
 	if (!c)
-		return;
+		return false;
 	fp_log(FP_LOG_INFO, "connection_closed",
 	       "cause=connections open=%u limit=%u idle_ms=%" PRId64,
 	       s->n_connections, s->cfg.max_connections,
 	       (fp_loop_now_us(s->loop) - b->idle_since_us) / FP_US_PER_MS);
 	if (!c->x) {
 		end_socket(c->conn);
-		return;
+		return true;
 	}
 	if (c->x->state == READING)
 		c->x->state = LINGERING;
 	intake_end_connection(c->x);
+	return true;
 }
 
 void intake_on_connection(void *ctx, struct MHD_Connection *conn, void **sctx,
@@ -151,7 +151,7 @@
 	c->address = address_of(conn);
 	s->n_connections++;
 	if (s->n_connections > s->cfg.max_connections)
-		close_idle(s);
+		intake_close_idle(s);
 	fp_byte_connected(s->cfg.account, &c->idle, &s->connections, c->address,
 			  fp_loop_now_us(s->loop));
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -64,6 +64,9 @@
 	/** Bodies of this server use the reserve of the account and never give
 	 *  way. */
 	bool reserved;
+	/** Requests are read and run while earlier ones of their connection are
+	 * not answered yet, where http_pipeline.h allows it. */
+	bool read_ahead;
 };
 
 /**
--- a/src/transport/http_server_private.h
+++ b/src/transport/http_server_private.h
@@ -5,6 +5,7 @@
 #include <microhttpd.h>
 #include <stdbool.h>
 
+#include "transport/http_pipeline.h"
 #include "transport/http_server.h"
 
 #define MAX_HEADERS 64
@@ -29,6 +30,8 @@
 	struct fp_byte_holder hold; /* first member */
 	struct fp_http_server *server;
 	struct MHD_Connection *conn;
+	struct http_turn *turn; /* of a request that the library did not read */
+	char *text; /* of such a request */
 	enum exchange_state state;
 	bool suspended;
 	bool in_handler; /* the request callback is on the stack */
@@ -57,6 +60,7 @@
 struct fp_http_server {
 	struct fp_loop *loop;
 	struct MHD_Daemon *daemon;
+	struct http_pipeline *pipeline; /* NULL: the library accepts */
 	struct fp_http_handler handler;
 	struct fp_http_server_config cfg;
 	struct fp_watch *watch;
@@ -81,6 +85,9 @@
 /** Callback of the library: a connection begins or ends. */
 void intake_on_connection(void *ctx, struct MHD_Connection *conn, void **sctx,
 			  enum MHD_ConnectionNotificationCode code);
+/** Closes a connection of the library without a complete request in favour of a
+ *  new one; false: there is none. */
+bool intake_close_idle(struct fp_http_server *s);
 /** Ends the connection of an exchange in the next run of the library. */
 void intake_end_connection(struct fp_http_exchange *x);
 
