--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -166,7 +166,7 @@
 	  .kind = FP_FIELD_WORD,
 	  .offset = OFFSET(tree_room),
 	  .size = SIZE(tree_room),
-	  .default_text = "off",
+	  .default_text = "on",
 	  .unit = "word",
 	  .words = off_on },
 	SPAN("bounds", "revoke", revoke_us, "5s"),
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -66,7 +66,7 @@
 	EXPECT_EQ(67108864u, s.max_held_bytes);
 	EXPECT_EQ(600u, s.claim_lifetime_s);
 	EXPECT_FALSE(s.overload_off);
-	EXPECT_FALSE(s.tree_room);
+	EXPECT_TRUE(s.tree_room);
 	EXPECT_EQ(FP_LOG_INFO, s.log_level);
 }
 
@@ -82,7 +82,7 @@
 				      secret +
 				      "\"\n"
 				      "[overload]\nmode = \"off\"\n"
-				      "tree_room = \"on\"\n"
+				      "tree_room = \"off\"\n"
 				      "[log]\nlevel = \"error\"\n"
 				      "[limits]\nmax_body_bytes = 16777216\n",
 			      &s, &why))
@@ -91,7 +91,7 @@
 	EXPECT_STREQ("[::1]:7401", s.seeds[1]);
 	EXPECT_TRUE(s.has_bootstrap_operator);
 	EXPECT_TRUE(s.overload_off);
-	EXPECT_TRUE(s.tree_room);
+	EXPECT_FALSE(s.tree_room);
 	EXPECT_EQ(FP_LOG_ERROR, s.log_level);
 	EXPECT_EQ(16777216u, s.max_body_bytes);
 }
