Tests of rate shares fail without each rule; three run with the sanitizers

RemovesTheSumOfReservesBelowAToken passed with parts of a token lost, and AnAnswerToAProbeShortensNothing with a probe that keeps the earlier commitment; both are stricter now and fail so.

--- a/Makefile
+++ b/Makefile
@@ -117,7 +117,8 @@
 # the others take too long.
 ASAN_UNIT := msg_call msg_shared peer admission balancer early_shed attempts \
 	poison claims settings config declarations slo reach base load_view \
-	http_client directory directory_relay platform id_index run_times
+	http_client directory directory_relay platform id_index run_times \
+	owner_rank pool rate_share
 
 asan-build:
 	$(MAKE) VARIANT=asan $(ASAN_UNIT:%=build-asan/test/test_%)
--- a/test/test_pool.cc
+++ b/test/test_pool.cc
@@ -223,12 +223,12 @@
 			commit(id, us, commitment(20, us));
 	EXPECT_EQ(1000u, read(p, us).fill_permille);
 	/* 10 of the 20 nodes are lost: 10 * 10 / s * 0.5 s / 20 = 2.5 tokens
-	 * leave with them. */
+	 * leave with them, and the burst of the others is 5. */
 	for (int i = 0; i < 5; i++, us += SECOND / 5)
 		for (uint64_t id = 1; id <= 10; id++)
 			commit(id, us, commitment(20, us));
 	EXPECT_EQ(FP_OK, grant(100, us, &n));
-	EXPECT_LE(n, 5u);
+	EXPECT_LE(n, 3u);
 }
 
 } // namespace
--- a/test/test_rate_share.cc
+++ b/test/test_rate_share.cc
@@ -102,7 +102,8 @@
 	EXPECT_FALSE(fp_rate_share_is_committed(&p, end_us));
 }
 
-/* The answer to a clock probe of another owner says nothing of it. */
+/* The short commitment may be lost with its link; the answer to the probe after
+ * it says nothing of it. */
 TEST_F(RateShare, AnAnswerToAProbeShortensNothing)
 {
 	fp_commitment c;
@@ -111,10 +112,9 @@
 	fp_rate_share_handle_response(&p, 5, 77, 0, SECOND);
 	fp_rate_share_commit(&p, &VALID, 5, 10 * SECOND, SECOND, &c);
 	fp_rate_share_handle_response(&p, 5, 77, 0, SECOND);
-	commit(5, 2 * SECOND);
-	commit(6, 2 * SECOND + 1);
-	fp_rate_share_handle_response(&p, 6, 1, 0, 2 * SECOND + 2);
-	fp_rate_share_handle_response(&p, 5, 78, 0, 2 * SECOND + 3);
+	EXPECT_NE(0, commit(5, 2 * SECOND).hold_us);
+	EXPECT_EQ(0, commit(5, 2 * SECOND + 200000).hold_us);
+	fp_rate_share_handle_response(&p, 5, 78, 0, 2 * SECOND + 200001);
 	EXPECT_TRUE(fp_rate_share_is_committed(&p, 11 * SECOND - 1));
 }
 
