--- a/test/test_worker_model.cc
+++ b/test/test_worker_model.cc
@@ -274,6 +274,7 @@
 	s.run_s(5);
 	fp_worker_model_reset(s.m, s.now_us);
 	EXPECT_EQ(0u, s.read("short").own_us);
+	fp_worker_model_places(s.m, SLOTS, false, false, s.now_us);
 	/* Runs that the one before began tell nothing. */
 	for (auto &r : s.running)
 		fp_worker_model_ended(s.m, &r.run, r.route, 0, true,
