--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -49,7 +49,6 @@
 #define LENGTH_BYTES	    4
 #define MAX_QUEUED_BYTES    (8u << 20)
 #define READ_BYTES	    65536
-#define KEPT_BUFFER_BYTES   (128u << 10) /* of an empty buffer */
 #define MAX_LINKS	    4096
 #define HELLO_BYTES	    (1 + FP_NONCE_BYTES + 8 + FP_PEER_ADDR_BYTES)
 #define HEADER_BYTES	    crypto_secretstream_xchacha20poly1305_HEADERBYTES
@@ -172,11 +171,9 @@
 static void buffer_skip(struct buffer *b, size_t n)
 {
 	b->start += n;
-	if (b->start != b->end)
-		return;
-	b->start = 0;
-	b->end = 0;
-	if (b->size > KEPT_BUFFER_BYTES)
+	if (b->start == b->end)
+		b->start = b->end = 0;
+	if (!b->end && b->size > 2 * (size_t)READ_BYTES)
 		buffer_free(b);
 }
 
