--- a/src/node/held.c
+++ b/src/node/held.c
@@ -1,6 +1,9 @@
 /* held.c - metrics of the bytes that this node holds for clients */
 #include "node/traffic_private.h"
 
+/* Each value is looked up by its name, which is not for every tick. */
+#define HELD_PERIOD_US FP_US_PER_S
+
 static void set_value(struct fp_traffic *t, const char *name,
 		      const char *labels, uint64_t value)
 {
@@ -8,7 +11,7 @@
 		       (int64_t)value);
 }
 
-void held_tick(struct fp_traffic *t)
+void held_tick(struct fp_traffic *t, int64_t now_us)
 {
 	static const char *const causes[] = { "cause=\"stalled\"",
 					      "cause=\"needed\"",
@@ -16,6 +19,9 @@
 	struct fp_byte_totals n;
 	size_t i;
 
+	if (now_us - t->held_us < HELD_PERIOD_US)
+		return;
+	t->held_us = now_us;
 	fp_byte_read_totals(t->bytes, &n);
 	set_value(t, "fulmar_held_bytes", "", n.held_bytes);
 	set_value(t, "fulmar_held_bytes_limit", "", n.limit_bytes);
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -246,7 +246,7 @@
 	if (t->hosted)
 		owner_tick(t, now_us);
 	claim_tick(t, now_us);
-	held_tick(t);
+	held_tick(t, now_us);
 	if (t->draining)
 		drain_tick(t, now_us);
 	fp_timer_set(t->loop, &t->tick, now_us + TICK_US, on_tick, t);
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -116,6 +116,7 @@
 	uint32_t n_aborted; /* recorded so far; modulo the size: next index */
 	struct fp_slo *slo; /* service levels of root calls */
 	struct fp_recovery recovery; /* overload episodes of all root calls */
+	int64_t held_us; /* last update of the metrics of it */
 	struct fp_byte_account *bytes; /* held for clients and workers */
 	bool worker_leaving; /* it announced that it is leaving */
 	bool has_secret; /* links to other nodes can be established */
@@ -267,8 +268,8 @@
 void speed_end(struct fp_traffic *t);
 /* --- held.c --- */
 
-/** Updates the metrics of what is held for clients. */
-void held_tick(struct fp_traffic *t);
+/** Updates the metrics of what is held for clients, once a second. */
+void held_tick(struct fp_traffic *t, int64_t now_us);
 
 /* --- slo_node.c: service levels --- */
 
--- a/src/state/early_shed.c
+++ b/src/state/early_shed.c
@@ -33,15 +33,17 @@
  * is limited, no capacity is left for the ranks below.
  *
  * Reports carry the time since the load was measured, lose weight with it and
- * expire: a report is ignored after REPORT_VALID_US, so a service that receives no calls any more is tried again.
+ * expire: a report is ignored after REPORT_VALID_US, so a service that receives
+ * no calls any more is tried again.
  */
 #include "state/early_shed.h"
-#include "state/tree_room.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "state/tree_room.h"
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
