--- a/test/test_e2e_bodies.cc
+++ b/test/test_e2e_bodies.cc
@@ -525,6 +525,25 @@
 	check();
 }
 
+/* Requests of a connection are run while the answers before them wait. */
+TEST_F(Bodies, LargeAnswersToPipelinedRequestsOfClientsThatDoNotRead)
+{
+	ASSERT_NO_FATAL_FAILURE(start());
+	for (size_t i = 0; i < N_CLIENTS; i++) {
+		Client &c = connect_to(*machines[0], 4096);
+
+		for (int k = 0; k < 16; k++)
+			c.out += "GET /inner/large HTTP/1.1\r\n"
+				 "Host: h.example\r\n"
+				 "Fulmarpass-Request-Id: p" +
+				 std::to_string(i * 16 + k) + "\r\n\r\n";
+		push(c);
+		usleep(50000);
+	}
+	usleep(1000000);
+	check();
+}
+
 TEST_F(Bodies, LargeAnswersToClientsThatDoNotRead)
 {
 	ASSERT_NO_FATAL_FAILURE(start());
