--- a/src/transport/http_pipeline.c
+++ b/src/transport/http_pipeline.c
@@ -536,7 +536,7 @@
 static void on_connections(void *ctx, uint32_t events)
 {
 	struct http_pipeline *p = ctx;
-	struct sockaddr_in from;
+	struct sockaddr_in from = { 0 };
 	socklen_t len;
 	int fd;
 	int i;
