--- a/test/test_e2e_pipeline.cc
+++ b/test/test_e2e_pipeline.cc
@@ -175,10 +175,9 @@
 	close(fd);
 }
 
-/* A client that leaves after the first of many answers: at most the request in
- * progress runs, and others are served. */
-/* Requests of one connection run side by side, so those that have begun when
- * the client leaves are more than one; none begins after that. */
+/* A client that leaves after the first of many answers. Requests of one
+ * connection run side by side, so several may have begun; none begins after
+ * that, and others are served. */
 TEST_F(Pipeline, WhatAClientLeavesBehindIsNotRun)
 {
 	std::string text;
