--- a/Makefile
+++ b/Makefile
@@ -129,14 +129,17 @@
 		$(ASAN_UNIT:%=build-asan/test/test_%)
 
 # End-to-end tests mostly wait. They come first, the longest before the others.
-# Tests that measure memory run by themselves (alone), before all others, which
-# run and are reported even if these fail.
+# Tests that measure memory run by themselves (alone), after all others and after
+# the processes in AFTER; both are reported even if one fails.
 ALONE := $(B)/test/test_e2e_bodies
 LONGEST := $(B)/test/test_e2e_hosted $(B)/test/test_e2e_faults
 check: all
-	rc=0; $(MAKE) alone || rc=1; $(MAKE) check-others || rc=1; exit $$rc
+	rc=0; $(MAKE) check-others || rc=1; $(MAKE) alone || rc=1; exit $$rc
 
 alone: all
+	for p in $(AFTER); do \
+		while kill -0 $$p 2>/dev/null; do sleep 1; done; \
+	done
 	sh tools/run-tests.sh $(B) $(ALONE)
 
 check-others: all
