--- a/src/node/cold.c
+++ b/src/node/cold.c
@@ -58,22 +58,22 @@
 	       (now_us - t->announced_us) / FP_US_PER_MS);
 }
 
-void cold_told(struct fp_traffic *t, int64_t left_us, const char *why)
+void cold_reported(struct fp_traffic *t, int64_t left_us, const char *why)
 {
 	int64_t now_us = fp_loop_now_us(t->loop);
 
 	if (left_us < 0)
-		fp_cold_rate_doubt(t->cold, now_us);
+		fp_cold_rate_assume(t->cold, now_us);
 	else
-		fp_cold_rate_told(t->cold, left_us, now_us);
+		fp_cold_rate_reported(t->cold, left_us, now_us);
 	log_change(t, why, now_us);
 }
 
-void cold_doubt(struct fp_traffic *t, const char *why)
+void cold_assume(struct fp_traffic *t, const char *why)
 {
 	int64_t now_us = fp_loop_now_us(t->loop);
 
-	fp_cold_rate_doubt(t->cold, now_us);
+	fp_cold_rate_assume(t->cold, now_us);
 	log_change(t, why, now_us);
 }
 
@@ -83,7 +83,7 @@
 		t->worker.serving && now_us - t->announced_us > ANNOUNCE_GAP_US;
 
 	if (late && !t->announcement_late)
-		cold_doubt(t, "no_announcement");
+		cold_assume(t, "no_announcement");
 	t->announcement_late = late;
 	log_change(t, "over", now_us);
 	fp_counter_set(t->cold_left_ms,
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -290,7 +290,7 @@
 		log_failure(e, r.outcome, r.reason, r.run_us);
 	/* A worker that is away may come back, cold, before it says so. */
 	if (r.reason == FP_REASON_NO_WORKER)
-		cold_doubt(t, "unreachable");
+		cold_assume(t, "unreachable");
 	if (r.reason == FP_REASON_CUT || r.reason == FP_REASON_NO_WORKER)
 		worker_note_aborted(t, e->msg.fingerprint);
 	if (r.outcome == FP_OUTCOME_RAN || r.reason == FP_REASON_DEADLINE)
@@ -446,8 +446,8 @@
 	p.max_queued = p.off ? MAX_QUEUED_OFF : p.slots * QUEUED_PER_SLOT;
 	if (p.max_queued < MIN_QUEUED)
 		p.max_queued = MIN_QUEUED;
-	if (t->places && t->places < p.slots)
-		p.slots = t->places;
+	if (t->learned_limit && t->learned_limit < p.slots)
+		p.slots = t->learned_limit;
 	return p;
 }
 
@@ -477,7 +477,7 @@
 
 void execution_tick(struct fp_traffic *t, int64_t now_us)
 {
-	if (speed_update_places(t, now_us))
+	if (speed_update_concurrency(t, now_us))
 		execution_update_params(t);
 	fp_admission_tick(t->admission, now_us);
 	execution_apply_decisions(t);
--- a/src/node/execution_private.h
+++ b/src/node/execution_private.h
@@ -58,8 +58,8 @@
 void speed_note_answer(struct fp_traffic *t, const struct fp_http_result *res);
 /** Reads what is known for the route of an execution. */
 void speed_read(const struct execution *e, struct fp_worker_speed *speed);
-/** Updates the number of places; returns whether it changed. */
-bool speed_update_places(struct fp_traffic *t, int64_t now_us);
+/** Updates the learned limit; returns whether it changed. */
+bool speed_update_concurrency(struct fp_traffic *t, int64_t now_us);
 
 /* --- backend_call.c --- */
 
--- a/src/node/handover.c
+++ b/src/node/handover.c
@@ -118,7 +118,7 @@
 	if (t->evacuated && !was)
 		execution_refuse_evacuated(t);
 	else if (was && !t->evacuated)
-		cold_doubt(t, "evacuation_ended");
+		cold_assume(t, "evacuation_ended");
 }
 
 void fp_traffic_set_evacuation(struct fp_traffic *t,
--- a/src/node/held.c
+++ b/src/node/held.c
@@ -31,6 +31,6 @@
 	set_value(t, "fulmar_bodies_paused_total", "", n.n_paused);
 	set_value(t, "fulmar_connections_closed_total", "", n.n_closed);
 	for (i = 0; i < sizeof(causes) / sizeof(causes[0]); i++)
-		set_value(t, "fulmar_bodies_gave_way_total", causes[i],
-			  n.n_gave_way[i]);
+		set_value(t, "fulmar_bodies_evicted_total", causes[i],
+			  n.n_evicted[i]);
 }
--- a/src/node/speed.c
+++ b/src/node/speed.c
@@ -3,7 +3,7 @@
  *
  * Feeds the model (state/worker_model.c) with the runs of executions, the time
  * of their nested calls and what the server says of its machine, and gives the
- * learned number of places to admission. A new start of the server is another
+ * learned limit to admission. A new start of the server is another
  * server: everything is learned again.
  */
 #include <inttypes.h>
@@ -22,8 +22,8 @@
 	t->worker_model = fp_worker_model_init();
 	if (!t->worker_model)
 		abort();
-	t->metrics.places =
-		fp_counter_get(t->counters, "fulmar_server_places", "");
+	t->metrics.concurrency =
+		fp_counter_get(t->counters, "fulmar_server_concurrency", "");
 	t->metrics.rate =
 		fp_counter_get(t->counters, "fulmar_server_rate_per_s", "");
 	fp_balancer_set_learning(t->balancer, is_on(t));
@@ -100,29 +100,29 @@
 	return true;
 }
 
-bool speed_update_places(struct fp_traffic *t, int64_t now_us)
+bool speed_update_concurrency(struct fp_traffic *t, int64_t now_us)
 {
 	struct fp_admission_load load;
 	struct fp_worker_speed speed;
-	uint32_t places;
+	uint32_t limit;
 
 	if (!is_on(t) || !t->worker.slots)
 		return false;
 	fp_admission_read_load(t->admission, &load);
-	places = fp_worker_model_places(t->worker_model, t->worker.slots,
-					load.queued > 0,
-					important_served(&load), now_us);
-	if (places == t->places)
+	limit = fp_worker_model_concurrency(t->worker_model, t->worker.slots,
+					    load.queued > 0,
+					    important_served(&load), now_us);
+	if (limit == t->learned_limit)
 		return false;
 	fp_worker_model_read(t->worker_model, "", now_us, &speed);
-	fp_log(FP_LOG_INFO, "server_places",
-	       "places=%u before=%u slots=%u running=%u queued=%u "
+	fp_log(FP_LOG_INFO, "server_concurrency",
+	       "limit=%u before=%u slots=%u running=%u queued=%u "
 	       "rate_per_s=%u percent=%u age_ms=%u",
-	       places, t->places, t->worker.slots, load.running, load.queued,
-	       speed.rate_per_s, speed.percent, speed.age_ms);
-	fp_counter_set(t->metrics.places, places);
+	       limit, t->learned_limit, t->worker.slots, load.running,
+	       load.queued, speed.rate_per_s, speed.percent, speed.age_ms);
+	fp_counter_set(t->metrics.concurrency, limit);
 	fp_counter_set(t->metrics.rate, speed.rate_per_s);
-	t->places = places;
+	t->learned_limit = limit;
 	return true;
 }
 
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -59,7 +59,8 @@
 	struct fp_counter *executions; /* sent to the backend server */
 	struct fp_counter *in_flight; /* calls without a response yet */
 	struct fp_counter *config_revision; /* in force here */
-	struct fp_counter *places; /* learned, of the backend server */
+	struct fp_counter
+		*concurrency; /* learned limit, of the backend server */
 	struct fp_counter *rate; /* requests a second that it takes well */
 	struct fp_histogram *added_us; /* total minus the backend's time */
 	struct fp_histogram *total_us;
@@ -129,7 +130,8 @@
 	struct fp_clock *clock;
 	struct fp_worker worker;
 	struct fp_worker_model *worker_model; /* its speed */
-	uint32_t places; /* learned limit of its slots; 0: none */
+	uint32_t
+		learned_limit; /* requests that it should run at a time; 0: none */
 	int64_t announced_us; /* arrival of the last announcement */
 	struct fp_cold_rate *cold; /* pace of the worker's starts */
 	struct fp_counter *cold_starts; /* while the worker was cold */
@@ -281,9 +283,9 @@
 /** Applies the cold rate of this node's service. */
 void cold_update_config(struct fp_traffic *t);
 /** The worker said that it stays cold for left_us; below 0: it did not say. */
-void cold_told(struct fp_traffic *t, int64_t left_us, const char *why);
+void cold_reported(struct fp_traffic *t, int64_t left_us, const char *why);
 /** The worker may be cold without having said so. */
-void cold_doubt(struct fp_traffic *t, const char *why);
+void cold_assume(struct fp_traffic *t, const char *why);
 /** Detects missing announcements and the end of a cold time. */
 void cold_tick(struct fp_traffic *t, int64_t now_us);
 /** The callback start_wait_us of struct fp_admission_sink. */
--- a/src/node/worker.c
+++ b/src/node/worker.c
@@ -131,7 +131,7 @@
 	if (a->deregister ||
 	    (a->slow_start_us < 0 && !is_other_start(&t->worker, a)))
 		return;
-	cold_told(t, a->slow_start_us, "announced");
+	cold_reported(t, a->slow_start_us, "announced");
 }
 
 static void apply(struct fp_traffic *t, const struct fp_announcement *a)
--- a/src/state/balancer.c
+++ b/src/state/balancer.c
@@ -11,10 +11,10 @@
  *
  * Speed. Each answer tells how long runs of its route usually take at that
  * worker, learned by the node beside it from all of its requests. Divided by
- * the mean over the workers of the service that is the worker's pace, and two
- * workers are compared by load and pace: by when the call would end. Routes are
+ * the mean over the workers of the service that is the worker's slowdown, and two
+ * workers are compared by load and slowdown: by when the call would end. Routes are
  * kept apart, so that a worker with longer requests is not taken for a slow
- * one. The weights of the draw are the slots divided by the pace; now and then a
+ * one. The weights of the draw are the slots divided by the slowdown; now and then a
  * pick goes by slots and load alone, which keeps news coming from a worker that
  * was slow. News lose weight with their age, and small differences count as
  * none.
@@ -82,15 +82,16 @@
 #define LOAD_VALID_US	2000000 /* validity of an advertised queue length */
 #define LATENCY_WEIGHT	8 /* smoothing of the latency, in answers */
 #define ROUTE_WEIGHT	128 /* smoothing of a route's mean, in answers */
-#define PACE_WEIGHT	2 /* smoothing of a pace, in answers */
-#define PICKS_BY_SLOTS	16 /* one pick in this many ignores the paces */
-/* a pace that is closer to 1 than this factor counts as 1: the deviation of a
+#define SLOWDOWN_WEIGHT 2 /* smoothing of a slowdown, in answers */
+#define PICKS_BY_SLOTS	16 /* one pick in this many ignores the slowdowns */
+/* a slowdown that is closer to 1 than this factor counts as 1: the deviation of a
  * mean of 32 run times that vary by a factor of two ... */
-#define PACE_EQUAL     1.12
-#define PACE_DIFFERENT 1.25 /* ... and counts in full from this one */
-#define PACE_MAX       8.0
-#define PACE_VALID_US  5000000 /* a pace loses weight after this time ... */
-#define PACE_FADE_US   5000000 /* ... and is forgotten after this one more */
+#define SLOWDOWN_EQUAL	   1.12
+#define SLOWDOWN_DIFFERENT 1.25 /* ... and counts in full from this one */
+#define SLOWDOWN_MAX	   8.0
+#define SLOWDOWN_VALID_US \
+	5000000 /* a slowdown loses weight after this time ... */
+#define SLOWDOWN_FADE_US 5000000 /* ... and is forgotten after this one more */
 
 /* time of a run, in the unit of the load: the wait of a full worker */
 #define RUN_LOAD 0.5
@@ -110,8 +111,8 @@
 	uint32_t queued; /* advertised */
 	uint32_t running; /* advertised: of all callers */
 	int64_t load_us; /* time of the advertised values */
-	double pace; /* logarithm of its run time over the service's mean */
-	int64_t pace_us; /* time of the news; 0: none */
+	double slowdown; /* logarithm of its run time over the service's mean */
+	int64_t slowdown_us; /* time of the news; 0: none */
 	int64_t ejected_until_us; /* 0: not ejected */
 	int64_t ejection_us; /* length of the last ejection; 0: none */
 };
@@ -154,7 +155,7 @@
 	int64_t now_us;
 	uint32_t first; /* range of the service's workers */
 	uint32_t end;
-	bool by_slots; /* the paces are ignored */
+	bool by_slots; /* the slowdowns are ignored */
 	bool ignore_ejections; /* no worker is better than the failing ones */
 };
 
@@ -347,18 +348,18 @@
 	       FAIL_LOAD * w->failed + w->refused;
 }
 
-/* Logarithm of the pace that a difference of the means counts as. */
-static double significant(double pace)
+/* Logarithm of the slowdown that a difference of the means counts as. */
+static double significant(double slowdown)
 {
-	double equal = log(PACE_EQUAL);
-	double different = log(PACE_DIFFERENT);
-	double size = fabs(pace);
+	double equal = log(SLOWDOWN_EQUAL);
+	double different = log(SLOWDOWN_DIFFERENT);
+	double size = fabs(slowdown);
 
 	if (size <= equal)
 		return 0;
 	if (size >= different)
-		return pace;
-	return pace * (size - equal) / (different - equal);
+		return slowdown;
+	return slowdown * (size - equal) / (different - equal);
 }
 
 /* Running and queued requests of all callers over the limit, as advertised; 0
@@ -446,30 +447,30 @@
 }
 
 /* Run time at a worker over the mean of its service, as far as it is known. */
-static double pace_of(const struct pick *p, const struct worker *w)
+static double slowdown_of(const struct pick *p, const struct worker *w)
 {
-	int64_t old_us = p->now_us - w->pace_us - PACE_VALID_US;
-	double pace = w->pace;
+	int64_t old_us = p->now_us - w->slowdown_us - SLOWDOWN_VALID_US;
+	double slowdown = w->slowdown;
 
-	if (p->by_slots || !p->b->learning || !w->pace_us ||
-	    old_us >= PACE_FADE_US)
+	if (p->by_slots || !p->b->learning || !w->slowdown_us ||
+	    old_us >= SLOWDOWN_FADE_US)
 		return 1;
 	if (old_us > 0)
-		pace *= 1 - (double)old_us / PACE_FADE_US;
-	return exp(significant(pace));
+		slowdown *= 1 - (double)old_us / SLOWDOWN_FADE_US;
+	return exp(significant(slowdown));
 }
 
 /* When a call would end at a worker, in run times of its service. */
 static double end_of(const struct pick *p, const struct worker *w)
 {
-	return pace_of(p, w) * (RUN_LOAD + load_of(w, p->now_us));
+	return slowdown_of(p, w) * (RUN_LOAD + load_of(w, p->now_us));
 }
 
 static void group_add(const struct pick *p, struct group *group,
 		      struct worker *w)
 {
 	double weight = (w->info.slots ? w->info.slots : 1) *
-			warm_fraction(w, p->now_us) / pace_of(p, w);
+			warm_fraction(w, p->now_us) / slowdown_of(p, w);
 
 	if (group->n == SUBSET)
 		return;
@@ -710,7 +711,7 @@
 	struct worker *w = find_worker(b, id);
 	struct route_mean *r;
 	double own;
-	double pace;
+	double slowdown;
 
 	if (!w || !speed->own_us)
 		return;
@@ -720,14 +721,15 @@
 		r->n++;
 	r->own += (own - r->own) / r->n;
 	r->inner_us += (speed->inner_us - r->inner_us) / r->n;
-	pace = log((speed->own_us + r->inner_us) / (exp(r->own) + r->inner_us));
-	if (pace > log(PACE_MAX))
-		pace = log(PACE_MAX);
-	if (pace < -log(PACE_MAX))
-		pace = -log(PACE_MAX);
-	if (!w->pace_us || now_us - w->pace_us > PACE_VALID_US)
-		w->pace = pace;
+	slowdown = log((speed->own_us + r->inner_us) /
+		       (exp(r->own) + r->inner_us));
+	if (slowdown > log(SLOWDOWN_MAX))
+		slowdown = log(SLOWDOWN_MAX);
+	if (slowdown < -log(SLOWDOWN_MAX))
+		slowdown = -log(SLOWDOWN_MAX);
+	if (!w->slowdown_us || now_us - w->slowdown_us > SLOWDOWN_VALID_US)
+		w->slowdown = slowdown;
 	else
-		w->pace += (pace - w->pace) / PACE_WEIGHT;
-	w->pace_us = now_us - (int64_t)speed->age_ms * 1000;
+		w->slowdown += (slowdown - w->slowdown) / SLOWDOWN_WEIGHT;
+	w->slowdown_us = now_us - (int64_t)speed->age_ms * 1000;
 }
--- a/src/state/cold_rate.c
+++ b/src/state/cold_rate.c
@@ -16,10 +16,10 @@
  * part of the second. Otherwise a whole second's requests would start together,
  * and the next ones would wait for almost a second.
  *
- * What a worker says ends by itself: it counts as warm when the time that it
- * named is over. When there is doubt it counts as cold, but not for longer than
- * a start takes. What it says while the doubt is young may be older than the
- * doubt, so that it cannot end it.
+ * What a worker reports ends by itself: it counts as warm when the time that it
+ * named is over. While nothing is known, it is assumed to be cold, but not for
+ * longer than a start takes. A report that arrives soon after that began may be
+ * older, so it cannot shorten the assumed time.
  */
 #include "state/cold_rate.h"
 
@@ -28,15 +28,15 @@
 #define SECOND_US 1000000
 /* Starts are spread over this many parts of a second. */
 #define PARTS 4
-/* Workers announce themselves each 1.5 s, and an announcement may be under way
- * for a part of that. */
-#define YOUNG_DOUBT_US 2000000
+/* A report may be this old when it arrives: workers announce themselves each
+ * 1.5 s, and a late announcement takes a part of that. */
+#define REPORT_DELAY_US 2000000
 
 struct fp_cold_rate {
 	uint32_t per_s; /* 0: no cold rate */
 	int64_t start_us; /* longest time without a statement */
 	int64_t cold_until_us;
-	int64_t doubt_us; /* when the doubt began; 0: there is none */
+	int64_t assumed_us; /* since when it is assumed cold; 0: it is not */
 	uint64_t n_started; /* since the start; modulo the size: next index */
 	int64_t started_us[FP_COLD_RATE_MAX]; /* times of the last starts */
 };
@@ -57,20 +57,21 @@
 	c->start_us = start_us;
 }
 
-void fp_cold_rate_told(struct fp_cold_rate *c, int64_t left_us, int64_t now_us)
+void fp_cold_rate_reported(struct fp_cold_rate *c, int64_t left_us,
+			   int64_t now_us)
 {
 	int64_t until_us = left_us > 0 ? now_us + left_us : 0;
 
-	if (c->doubt_us && now_us - c->doubt_us < YOUNG_DOUBT_US &&
+	if (c->assumed_us && now_us - c->assumed_us < REPORT_DELAY_US &&
 	    until_us < c->cold_until_us)
 		return;
-	c->doubt_us = 0;
+	c->assumed_us = 0;
 	c->cold_until_us = until_us;
 }
 
-void fp_cold_rate_doubt(struct fp_cold_rate *c, int64_t now_us)
+void fp_cold_rate_assume(struct fp_cold_rate *c, int64_t now_us)
 {
-	c->doubt_us = now_us;
+	c->assumed_us = now_us;
 	if (c->cold_until_us < now_us + c->start_us)
 		c->cold_until_us = now_us + c->start_us;
 }
--- a/src/state/cold_rate.h
+++ b/src/state/cold_rate.h
@@ -26,13 +26,14 @@
  */
 void fp_cold_rate_set(struct fp_cold_rate *c, uint32_t per_s, int64_t start_us);
 
-/** The worker said that it stays cold for left_us; 0: it is warm. Less than what
- *  a doubt assumes has no effect for the first two seconds of the doubt. */
-void fp_cold_rate_told(struct fp_cold_rate *c, int64_t left_us, int64_t now_us);
+/** The worker reported that it stays cold for left_us; 0: it is warm. In the
+ *  first two seconds after fp_cold_rate_assume() a shorter time is ignored. */
+void fp_cold_rate_reported(struct fp_cold_rate *c, int64_t left_us,
+			   int64_t now_us);
 
 /** Nothing is known any more: the worker counts as cold until it says
  *  otherwise, for as long as a start takes at most. */
-void fp_cold_rate_doubt(struct fp_cold_rate *c, int64_t now_us);
+void fp_cold_rate_assume(struct fp_cold_rate *c, int64_t now_us);
 
 /** Time that the worker counts as cold from now on; 0: it is warm or has no
  *  cold rate. */
--- a/src/state/worker_model.c
+++ b/src/state/worker_model.c
@@ -16,7 +16,7 @@
  * Places. A worker that runs k requests, each slower by the effect of k, ends k
  * / exp(effect) in the same time. Where a smaller number ends clearly more, that
  * number becomes the limit; "clearly" counts the deviation of the samples.
- * Only numbers that were seen count, so a full worker is run with fewer places
+ * Only numbers that were seen count, so a full worker is run with a lower limit
  * for a moment now and then until these were seen too. A worker below its
  * announced slots is probed upward by one step, at intervals that double while
  * the limit is confirmed. The caller says when a probe may begin: not while
@@ -51,7 +51,7 @@
 #define CELL_FADE_US	 30000000 /* a cell without runs counts half after this */
 #define GAIN_MIN	 0.05 /* least gain that lowers the limit: 5 % */
 #define DEVIATIONS	 2.0 /* and this many standard deviations */
-#define PLACES_MIN	 0.5 /* least limit, of the slots */
+#define CONCURRENCY_MIN	 0.5 /* least limit, of the slots */
 #define DECIDE_US	 250000 /* interval of decisions */
 #define PROBE_MIN_US	 100000 /* least duration of a probe */
 #define PROBE_LONG_US	 800000 /* longest one; without enough runs */
@@ -107,13 +107,13 @@
 	int64_t report_us;
 	double percent_mean; /* smoothed */
 	double run_mean_us; /* smoothed time of runs, nested calls included */
-	uint32_t places; /* cells in use; CELLS: all */
+	uint32_t limit_cells; /* cells in use; CELLS: all */
 	int64_t decided_us;
 	int64_t full_us; /* full since this time; 0: not full */
 	int64_t probe_us; /* start of the probe; 0: none */
 	int64_t next_probe_us;
 	int64_t interval_us;
-	uint32_t probe_cells; /* places during the probe */
+	uint32_t probe_cells; /* limit during the probe */
 	uint32_t dip; /* depth of the next downward probe */
 	uint32_t probe_runs; /* runs at the probed number */
 };
@@ -135,7 +135,7 @@
 	m->running = running;
 	m->now_us = now_us;
 	m->reset_us = now_us;
-	m->places = CELLS;
+	m->limit_cells = CELLS;
 	m->percent_mean = 100;
 	m->interval_us = PROBE_EVERY_US;
 	m->dip = DIP_SMALL;
@@ -300,7 +300,7 @@
 		       PLAIN;
 }
 
-/* ---- places ---- */
+/* ---- limit ---- */
 
 /* Logarithm of what the worker ends in a time with the cells up to this one. */
 static double throughput(const struct fp_worker_model *m, uint32_t cell)
@@ -324,15 +324,15 @@
 
 static uint32_t least_cells(void)
 {
-	return (uint32_t)(PLACES_MIN * CELLS);
+	return (uint32_t)(CONCURRENCY_MIN * CELLS);
 }
 
 /* Lowers the limit to the number below it that clearly ends more than some
  * larger one that is allowed. */
 static bool lower(struct fp_worker_model *m, int64_t now_us)
 {
-	uint32_t best = m->places - 1;
-	uint32_t top = m->places - 1;
+	uint32_t best = m->limit_cells - 1;
+	uint32_t top = m->limit_cells - 1;
 	uint32_t i;
 
 	while (top > least_cells() && faded(&m->cells[top], now_us) < RUNS_MIN)
@@ -341,9 +341,9 @@
 		if (is_clearly_better(m, i, top, now_us) &&
 		    (best >= top || throughput(m, i) > throughput(m, best)))
 			best = i;
-	if (best + 1 >= m->places)
+	if (best + 1 >= m->limit_cells)
 		return false;
-	m->places = best + 1;
+	m->limit_cells = best + 1;
 	m->interval_us = PROBE_EVERY_US;
 	m->next_probe_us = now_us + m->interval_us;
 	return true;
@@ -353,10 +353,11 @@
 static void judge_probe(struct fp_worker_model *m, int64_t now_us)
 {
 	m->probe_us = 0;
-	if (m->probe_cells <= m->places)
+	if (m->probe_cells <= m->limit_cells)
 		return;
-	if (throughput(m, m->probe_cells - 1) >= throughput(m, m->places - 1)) {
-		m->places = m->probe_cells;
+	if (throughput(m, m->probe_cells - 1) >=
+	    throughput(m, m->limit_cells - 1)) {
+		m->limit_cells = m->probe_cells;
 		m->interval_us = PROBE_EVERY_US / 4;
 	} else {
 		m->interval_us *= 2;
@@ -370,11 +371,11 @@
  * which too few runs were seen. */
 static void begin_probe(struct fp_worker_model *m, int64_t now_us)
 {
-	uint32_t to = m->places + 1;
+	uint32_t to = m->limit_cells + 1;
 	const struct cell *c;
 
 	m->next_probe_us = now_us + m->interval_us;
-	if (m->places == CELLS) {
+	if (m->limit_cells == CELLS) {
 		to = CELLS - m->dip;
 		c = &m->cells[to - 1];
 		m->dip = m->dip == DIP_SMALL ? DIP_LARGE : DIP_SMALL;
@@ -385,7 +386,7 @@
 			return;
 	}
 	/* What was seen there before is to be tested, not to be kept. */
-	if (to > m->places && m->cells[to - 1].n > RUNS_BEFORE)
+	if (to > m->limit_cells && m->cells[to - 1].n > RUNS_BEFORE)
 		m->cells[to - 1].n = RUNS_BEFORE;
 	m->probe_cells = to;
 	m->probe_runs = 0;
@@ -401,15 +402,15 @@
 	       (passed_us >= PROBE_MIN_US && m->probe_runs >= RUNS_PROBE);
 }
 
-uint32_t fp_worker_model_places(struct fp_worker_model *m, uint32_t slots,
-				bool full, bool may_probe, int64_t now_us)
+uint32_t fp_worker_model_concurrency(struct fp_worker_model *m, uint32_t slots,
+				     bool full, bool may_probe, int64_t now_us)
 {
 	uint32_t cells;
 	uint32_t n;
 
 	if (slots != m->slots) {
 		memset(m->cells, 0, sizeof(m->cells));
-		m->places = CELLS;
+		m->limit_cells = CELLS;
 		m->slots = slots;
 	}
 	if (!full)
@@ -425,7 +426,7 @@
 	if (!m->probe_us && full && may_probe && now_us >= m->next_probe_us &&
 	    now_us - m->full_us >= PROBE_MIN_US)
 		begin_probe(m, now_us);
-	cells = m->probe_us ? m->probe_cells : m->places;
+	cells = m->probe_us ? m->probe_cells : m->limit_cells;
 	n = (uint32_t)((uint64_t)slots * cells / CELLS);
 	return n ? n : 1;
 }
@@ -446,8 +447,9 @@
 	if (now_us > m->learned_us)
 		speed->age_ms = (uint32_t)((now_us - m->learned_us) / 1000);
 	if (m->run_mean_us > 0)
-		speed->rate_per_s = (uint32_t)((double)m->slots * m->places /
-					       CELLS * 1e6 / m->run_mean_us);
+		speed->rate_per_s =
+			(uint32_t)((double)m->slots * m->limit_cells / CELLS *
+				   1e6 / m->run_mean_us);
 	if (fit == CORRECTED && now_us - m->report_us <= REPORT_VALID_US)
 		speed->percent = (uint16_t)(m->percent_mean + 0.5);
 	if (r->hash != hash || r->n == 0)
--- a/src/state/worker_model.h
+++ b/src/state/worker_model.h
@@ -64,10 +64,10 @@
  *
  * @param slots      number that it announced; never exceeded
  * @param full       requests wait for a place
- * @param may_probe  a probe for more places may begin now
+ * @param may_probe  a probe of a higher limit may begin now
  */
-uint32_t fp_worker_model_places(struct fp_worker_model *m, uint32_t slots,
-				bool full, bool may_probe, int64_t now_us);
+uint32_t fp_worker_model_concurrency(struct fp_worker_model *m, uint32_t slots,
+				     bool full, bool may_probe, int64_t now_us);
 
 /** Reads what is known of runs of a route. */
 void fp_worker_model_read(const struct fp_worker_model *m, const char *route,
--- a/src/transport/byte_account.c
+++ b/src/transport/byte_account.c
@@ -1,5 +1,5 @@
 /*
- * byte_account.c - bytes that a node holds for its clients, and who gives way
+ * byte_account.c - bytes that a node holds for its clients, and what is evicted
  *
  * A limit of one body is no limit of a node: many bodies of legal size fill the
  * memory of any machine. So each message draws its bytes from one account of the
@@ -13,19 +13,19 @@
  *   ordinary requests. The rest is left to answers, since what they answer was
  *   run already. A body that is larger than the three quarters takes all of
  *   them, so it is still served alone.
- * - Only what is unfinished gives way: a body that is not complete, or an answer
+ * - Only what is unfinished is evicted: a body that is not complete, or an answer
  *   that its client does not read. While others wait, that is each one which made
  *   no progress for PRESSED_US; the first is that of the address which holds
  *   most, and among its holders the one idle longest. Progress is PROGRESS_BYTES,
  *   so a byte now and then is none.
  * - An address that made others wait for nothing is remembered for STALLER_US: it
- *   is served after the others, and gives way sooner.
+ *   is served after the others, and evicted sooner.
  * - What waits is served in the order of the bytes that its address holds, least
  *   first, then of the bytes that it wants, and then of its arrival. Who waits
  *   too long is refused, so that its client can go elsewhere in time.
  * - Without pressure a client may take its time up to the limits of the platform.
  *
- * What a worker runs, or may have run, never gives way.
+ * What a worker runs, or may have run, is never evicted.
  */
 #include "transport/byte_account.h"
 
@@ -40,12 +40,12 @@
 #define SMALL_BYTES (128u << 10)
 /* Bytes that count as progress. */
 #define PROGRESS_BYTES (16u << 10)
-/* Time without progress after which a holder gives way while others wait: a
+/* Time without progress after which a holder is evicted while others wait: a
  * node should have read a request after one second (PROTOCOL). */
 #define PRESSED_US FP_US_PER_S
 /* The same while nobody waits: idleTimeout of the platform's records. */
 #define STALLED_US (15 * FP_US_PER_S)
-/* Longest wait for room, so that those which stall can give way first. */
+/* Longest wait for room, so that those which stall can be evicted first. */
 #define WAIT_US (2 * FP_US_PER_S)
 /* The same as PRESSED_US for an address that made others wait before, and how
  * long that is remembered. */
@@ -221,25 +221,25 @@
 	h->client = NULL;
 }
 
-static void give_way(struct fp_byte_account *a, struct fp_byte_holder *h,
-		     enum fp_byte_why why, int64_t now_us)
+static void evict(struct fp_byte_account *a, struct fp_byte_holder *h,
+		  enum fp_byte_eviction why, int64_t now_us)
 {
 	if (why != FP_BYTES_NO_ROOM)
 		h->client->staller_until_us = now_us + STALLER_US;
-	a->totals.n_gave_way[why]++;
+	a->totals.n_evicted[why]++;
 	fp_byte_end(a, h);
-	h->ops->give_way(h, why);
+	h->ops->evict(h, why);
 }
 
-/* Whether a holder may give way to others at all: it is unfinished and holds
+/* Whether a holder may be evicted for others at all: it is unfinished and holds
  * something. */
-static bool may_give_way(const struct fp_byte_holder *h)
+static bool may_be_evicted(const struct fp_byte_holder *h)
 {
 	return h->ops && h->held_bytes && !h->reserved &&
 	       (is_unfinished(h) || h->phase == FP_BYTES_LEAVING);
 }
 
-/* The holder that gives way first, or NULL; idle_us: time without progress, 0
+/* The holder that is evicted first, or NULL; idle_us: time without progress, 0
  * for bodies whatever their progress. */
 static struct fp_byte_holder *pick_victim(struct fp_byte_account *a,
 					  const struct fp_byte_holder *except,
@@ -249,7 +249,7 @@
 	struct fp_byte_holder *h;
 
 	for (h = a->holders; h; h = h->next) {
-		if (h == except || !may_give_way(h) ||
+		if (h == except || !may_be_evicted(h) ||
 		    now_us - h->progress_us <
 			    (h->client->staller_until_us &&
 					     idle_us > PRESSED_STALLER_US ?
@@ -298,7 +298,7 @@
 	h->phase = FP_BYTES_ARRIVING;
 }
 
-/* Lets holders without progress give way until the bytes fit. */
+/* Evicts holders without progress until the bytes fit. */
 static bool press(struct fp_byte_account *a, const struct fp_byte_holder *h,
 		  size_t bytes, int64_t now_us)
 {
@@ -308,7 +308,7 @@
 		victim = pick_victim(a, h, PRESSED_US, now_us);
 		if (!victim)
 			return false;
-		give_way(a, victim, FP_BYTES_NEEDED, now_us);
+		evict(a, victim, FP_BYTES_NEEDED, now_us);
 	}
 	return true;
 }
@@ -361,7 +361,7 @@
 		if (!victim)
 			return false;
 		before = victim->held_bytes;
-		give_way(a, victim, FP_BYTES_NEEDED, now_us);
+		evict(a, victim, FP_BYTES_NEEDED, now_us);
 		others -= before;
 	}
 	return true;
@@ -380,7 +380,7 @@
 		victim = pick_victim(a, h, 0, now_us);
 		if (!victim)
 			return false;
-		give_way(a, victim, FP_BYTES_NEEDED, now_us);
+		evict(a, victim, FP_BYTES_NEEDED, now_us);
 	}
 	return true;
 }
@@ -497,10 +497,10 @@
 		h->ops->resume(h);
 	}
 	while ((h = next_overdue(a, now_us)))
-		give_way(a, h,
-			 h->phase == FP_BYTES_WAITING ? FP_BYTES_NO_ROOM :
-							FP_BYTES_STALLED,
-			 now_us);
+		evict(a, h,
+		      h->phase == FP_BYTES_WAITING ? FP_BYTES_NO_ROOM :
+						     FP_BYTES_STALLED,
+		      now_us);
 	for (i = 0; i < BUCKETS_PER_TICK; i++)
 		forget_stallers(a, now_us);
 }
--- a/src/transport/byte_account.h
+++ b/src/transport/byte_account.h
@@ -1,4 +1,4 @@
-/* byte_account.h - bytes that a node holds for its clients, and who gives way */
+/* byte_account.h - bytes that a node holds for its clients, and what is evicted */
 #ifndef FP_TRANSPORT_BYTE_ACCOUNT_H
 #define FP_TRANSPORT_BYTE_ACCOUNT_H
 
@@ -14,8 +14,8 @@
 struct fp_byte_client;
 struct fp_byte_holder;
 
-/** Why a holder gives way. */
-enum fp_byte_why {
+/** Why a holder is evicted. */
+enum fp_byte_eviction {
 	FP_BYTES_STALLED, /**< too little arrived for too long */
 	FP_BYTES_NEEDED, /**< others need its bytes, and it made no progress */
 	FP_BYTES_NO_ROOM, /**< it waited too long for room */
@@ -26,7 +26,7 @@
 	/** What it waited for is granted: it may read on. */
 	void (*resume)(struct fp_byte_holder *h);
 	/** It must free what it holds. The account has dropped its bytes. */
-	void (*give_way)(struct fp_byte_holder *h, enum fp_byte_why why);
+	void (*evict)(struct fp_byte_holder *h, enum fp_byte_eviction why);
 };
 
 /** What a holder is doing. */
@@ -44,7 +44,7 @@
 	const struct fp_byte_holder_ops *ops; /**< NULL: only kept */
 	struct fp_byte_client *client;
 	enum fp_byte_phase phase;
-	bool reserved; /**< uses the reserve and never gives way */
+	bool reserved; /**< uses the reserve and is never evicted */
 	size_t held_bytes; /**< in the account */
 	size_t wanted_bytes; /**< to hold when there is room */
 	size_t moved_bytes; /**< since the last progress */
@@ -71,7 +71,7 @@
 	uint32_t n_arriving; /**< bodies that are not complete, paused or not */
 	uint32_t n_waiting; /**< those of them that are paused */
 	uint64_t n_paused; /**< times that a body had to wait */
-	uint64_t n_gave_way[3]; /**< by enum fp_byte_why */
+	uint64_t n_evicted[3]; /**< by enum fp_byte_eviction */
 	uint64_t n_closed; /**< connections closed in favour of others */
 };
 
@@ -86,13 +86,13 @@
 /**
  * Asks for an arriving body to hold bytes in all.
  *
- * @return whether it may read on; if not, resume() or give_way() follows
+ * @return whether it may read on; if not, resume() or evict() follows
  */
 bool fp_byte_reserve(struct fp_byte_account *a, struct fp_byte_holder *h,
 		     size_t bytes, int64_t now_us);
 /** Records that bytes arrived or left. */
 void fp_byte_moved(struct fp_byte_holder *h, size_t bytes, int64_t now_us);
-/** The body is complete: it never gives way. */
+/** The body is complete: it is never evicted. */
 void fp_byte_complete(struct fp_byte_account *a, struct fp_byte_holder *h);
 /**
  * Holds bytes for a complete request, new in the account; makes room for them at
@@ -117,7 +117,7 @@
 bool fp_byte_set_received(struct fp_byte_account *a, size_t bytes,
 			  int64_t now_us);
 
-/** Lets holders go on or give way; call it about every 100 ms. */
+/** Lets holders go on, or evicts them; call it about every 100 ms. */
 void fp_byte_tick(struct fp_byte_account *a, int64_t now_us);
 
 /** Adds a connection to the list of its port. */
--- a/src/transport/http_intake.c
+++ b/src/transport/http_intake.c
@@ -218,12 +218,12 @@
 	resume((struct fp_http_exchange *)h);
 }
 
-static void on_give_way(struct fp_byte_holder *h, enum fp_byte_why why)
+static void on_evicted(struct fp_byte_holder *h, enum fp_byte_eviction why)
 {
 	static const char *const causes[] = { "stalled", "needed", "no-room" };
 	struct fp_http_exchange *x = (struct fp_http_exchange *)h;
 
-	fp_log(FP_LOG_INFO, "body_gave_way",
+	fp_log(FP_LOG_INFO, "body_evicted",
 	       "cause=%s direction=%s bytes=%zu announced=%zu "
 	       "total_ms=%" PRId64,
 	       causes[why], x->state == READING ? "in" : "out", x->body_bytes,
@@ -238,7 +238,7 @@
 }
 
 static const struct fp_byte_holder_ops hold_ops = { .resume = on_room,
-						    .give_way = on_give_way };
+						    .evict = on_evicted };
 
 void intake_begin(struct fp_http_exchange *x)
 {
--- a/src/transport/http_pipeline.c
+++ b/src/transport/http_pipeline.c
@@ -15,7 +15,7 @@
  * would let one request hide in another; a request with any field that concerns
  * its length or the connection is therefore never read here.
  *
- * Bounds: MAX_TURNS requests a connection, whose heads are together no longer
+ * Bounds: MAX_PIPELINED requests a connection, whose heads are together no longer
  * than one may be, and MAX_AHEAD in all beside the first of each connection.
  * Beyond them, or while a client does not take its answers, the socket is not
  * read, which holds the client back. Answers draw from the account of the node.
@@ -40,7 +40,7 @@
 
 #include "base/log.h"
 
-#define MAX_TURNS 16 /* requests of a connection that are not answered */
+#define MAX_PIPELINED 16 /* requests of a connection that are not answered */
 /* Requests of all connections from which only the first of each is read. Each
  * takes about 12 KB while it is in progress. */
 #define MAX_AHEAD 1024
@@ -56,11 +56,11 @@
 #define ACCEPTS		  64 /* connections accepted at once */
 #define ANSWER_HEAD_BYTES 256 /* status line and own fields */
 
-struct http_turn {
+struct http_pipelined {
 	struct fp_byte_holder hold; /* first member: of the answer */
 	struct connection *conn;
 	size_t head_bytes;
-	struct http_turn *next; /* later request of the connection */
+	struct http_pipelined *next; /* later request of the connection */
 	void *value;
 	char *answer; /* NULL: not answered */
 	size_t answer_bytes;
@@ -76,9 +76,9 @@
 	uint32_t address;
 	struct fp_watch *watch;
 	struct fp_timer retry;
-	struct http_turn *first;
-	struct http_turn *last;
-	uint32_t n_turns;
+	struct http_pipelined *first;
+	struct http_pipelined *last;
+	uint32_t n_requests;
 	uint32_t n_retries; /* of the same incomplete head */
 	size_t head_bytes; /* of the requests that are not answered */
 	size_t held_bytes; /* answers not sent */
@@ -96,7 +96,7 @@
 	struct http_pipeline_handler h;
 	uint32_t max_header_bytes;
 	struct fp_byte_account *account;
-	uint32_t n_turns; /* of all connections */
+	uint32_t n_requests; /* of all connections */
 	int listen_fd;
 	struct fp_watch *listener;
 	struct connection *open;
@@ -234,13 +234,13 @@
 	c->events = events;
 }
 
-static void turn_free(struct http_turn *t)
+static void request_free(struct http_pipelined *t)
 {
 	struct http_pipeline *p = t->conn->p;
 
 	if (t->hold.phase != FP_BYTES_NONE)
 		fp_byte_end(p->account, &t->hold);
-	p->n_turns--;
+	p->n_requests--;
 	free(t->answer);
 	free(t);
 }
@@ -249,7 +249,7 @@
 static void connection_free(struct connection *c, bool keep_fd)
 {
 	struct http_pipeline *p = c->p;
-	struct http_turn *t;
+	struct http_pipelined *t;
 
 	fp_watch_del(c->watch);
 	fp_timer_cancel(p->loop, &c->retry);
@@ -263,39 +263,39 @@
 		void *value = t->answer ? NULL : t->value;
 
 		c->first = t->next;
-		turn_free(t);
+		request_free(t);
 		if (value)
 			p->h.left(p->h.ctx, value);
 	}
 	free(c);
 }
 
-static uint32_t max_turns(const struct connection *c)
+static uint32_t max_pipelined(const struct connection *c)
 {
-	return c->p->keep_alive_disabled || c->p->n_turns >= MAX_AHEAD ?
+	return c->p->keep_alive_disabled || c->p->n_requests >= MAX_AHEAD ?
 		       1 :
-		       MAX_TURNS;
+		       MAX_PIPELINED;
 }
 
 /* Whether one more request, of that many bytes, may be read. */
-static bool has_turn(const struct connection *c, uint32_t n_turns,
-		     size_t head_bytes)
+static bool may_add(const struct connection *c, uint32_t n_requests,
+		    size_t head_bytes)
 {
-	return n_turns < max_turns(c) &&
-	       (!n_turns || head_bytes <= c->p->max_header_bytes);
+	return n_requests < max_pipelined(c) &&
+	       (!n_requests || head_bytes <= c->p->max_header_bytes);
 }
 
 static bool may_read(const struct connection *c)
 {
 	return !c->handing_over && !c->waiting &&
-	       (c->closing || (has_turn(c, c->n_turns, c->head_bytes) &&
+	       (c->closing || (may_add(c, c->n_requests, c->head_bytes) &&
 			       c->held_bytes < MAX_HELD_BYTES));
 }
 
 /* Sends answers in order until the socket takes no more. */
 static void send_answers(struct connection *c)
 {
-	struct http_turn *t;
+	struct http_pipelined *t;
 	ssize_t n;
 
 	while ((t = c->first) && t->answer && !c->gone && !c->closing) {
@@ -317,8 +317,8 @@
 		c->first = t->next;
 		if (!c->first)
 			c->last = NULL;
-		c->n_turns--;
-		turn_free(t);
+		c->n_requests--;
+		request_free(t);
 	}
 	if (c->closing)
 		shutdown(c->fd, SHUT_WR);
@@ -347,10 +347,10 @@
 			      (unsent ? FP_WRITABLE : 0));
 }
 
-static void add_turn(struct connection *c, const char *text, size_t bytes)
+static void add_request(struct connection *c, const char *text, size_t bytes)
 {
 	struct http_pipeline *p = c->p;
-	struct http_turn *t = calloc(1, sizeof(*t));
+	struct http_pipelined *t = calloc(1, sizeof(*t));
 	char *copy = malloc(bytes + 1);
 	struct http_head head;
 
@@ -362,20 +362,20 @@
 	t->conn = c;
 	t->head_bytes = bytes;
 	c->head_bytes += bytes;
-	p->n_turns++;
+	p->n_requests++;
 	if (c->last)
 		c->last->next = t;
 	else
 		c->first = t;
 	c->last = t;
-	c->n_turns++;
+	c->n_requests++;
 	p->h.request(p->h.ctx, t, copy, &head);
 }
 
 /* Measures the requests at the start of text that may be read now; sets *more
  * to the result of http_head_parse() for what follows them. */
 static uint32_t measure(const struct connection *c, const char *text,
-			size_t bytes, size_t ends[MAX_TURNS], int32_t *more)
+			size_t bytes, size_t ends[MAX_PIPELINED], int32_t *more)
 {
 	struct http_head head;
 	char copy[PEEK_BYTES];
@@ -384,8 +384,8 @@
 
 	memcpy(copy, text, bytes);
 	*more = 0;
-	while (n < MAX_TURNS && at < bytes &&
-	       has_turn(c, c->n_turns + n, c->head_bytes + at)) {
+	while (n < MAX_PIPELINED && at < bytes &&
+	       may_add(c, c->n_requests + n, c->head_bytes + at)) {
 		*more = http_head_parse(copy + at, bytes - at, &head);
 		if (*more > (int32_t)c->p->max_header_bytes)
 			*more = -1;
@@ -417,7 +417,7 @@
 static void read_requests(struct connection *c)
 {
 	char text[PEEK_BYTES];
-	size_t ends[MAX_TURNS];
+	size_t ends[MAX_PIPELINED];
 	size_t from = 0;
 	int32_t more;
 	ssize_t bytes;
@@ -440,10 +440,10 @@
 		c->used_us = fp_loop_now_us(c->p->loop);
 	}
 	for (i = 0; i < n; from = ends[i++])
-		add_turn(c, text + from, ends[i] - from);
+		add_request(c, text + from, ends[i] - from);
 	if (more < 0)
 		c->handing_over = true;
-	else if (more == 0 && has_turn(c, c->n_turns, c->head_bytes) &&
+	else if (more == 0 && may_add(c, c->n_requests, c->head_bytes) &&
 		 (size_t)bytes > from)
 		wait_for_rest(c, (size_t)bytes - from);
 }
@@ -583,9 +583,9 @@
 	return FP_OK;
 }
 
-void http_pipeline_set(struct http_turn *turn, void *value)
+void http_pipeline_set(struct http_pipelined *req, void *value)
 {
-	turn->value = value;
+	req->value = value;
 }
 
 static bool has_body(int status)
@@ -614,7 +614,7 @@
 	return p->date;
 }
 
-static void format_answer(struct http_turn *t, int status,
+static void format_answer(struct http_pipelined *t, int status,
 			  const struct fp_http_header *h, uint32_t n,
 			  const void *body, size_t body_bytes)
 {
@@ -647,21 +647,20 @@
 	t->answer_bytes = (size_t)(at - t->answer);
 }
 
-static void on_give_way(struct fp_byte_holder *h, enum fp_byte_why why)
+static void on_evicted(struct fp_byte_holder *h, enum fp_byte_eviction why)
 {
-	struct connection *c = ((struct http_turn *)h)->conn;
+	struct connection *c = ((struct http_pipelined *)h)->conn;
 
-	fp_log(FP_LOG_INFO, "body_gave_way", "cause=%s direction=out bytes=%zu",
+	fp_log(FP_LOG_INFO, "body_evicted", "cause=%s direction=out bytes=%zu",
 	       why == FP_BYTES_STALLED ? "stalled" : "needed", c->held_bytes);
 	/* The sweep ends it: the account may be in use by an answer. */
 	c->gone = true;
 }
 
 /* Draws an answer from the account; false: there is no room. */
-static bool hold(struct http_turn *t, size_t bytes)
+static bool hold(struct http_pipelined *t, size_t bytes)
 {
-	static const struct fp_byte_holder_ops ops = { .give_way =
-							       on_give_way };
+	static const struct fp_byte_holder_ops ops = { .evict = on_evicted };
 	struct connection *c = t->conn;
 	struct http_pipeline *p = c->p;
 
@@ -672,20 +671,20 @@
 			    fp_loop_now_us(p->loop));
 }
 
-bool http_pipeline_answer(struct http_turn *turn, int status,
+bool http_pipeline_answer(struct http_pipelined *req, int status,
 			  const struct fp_http_header *headers,
 			  uint32_t n_headers, const void *body,
 			  size_t body_bytes)
 {
-	struct connection *c = turn->conn;
+	struct connection *c = req->conn;
 
-	if (body_bytes && !hold(turn, body_bytes))
+	if (body_bytes && !hold(req, body_bytes))
 		return false;
-	c->head_bytes -= turn->head_bytes;
-	turn->close_after =
-		c->p->keep_alive_disabled && !turn->next && !c->handing_over;
-	format_answer(turn, status, headers, n_headers, body, body_bytes);
-	c->held_bytes += turn->answer_bytes;
+	c->head_bytes -= req->head_bytes;
+	req->close_after =
+		c->p->keep_alive_disabled && !req->next && !c->handing_over;
+	format_answer(req, status, headers, n_headers, body, body_bytes);
+	c->held_bytes += req->answer_bytes;
 	if (c->busy)
 		return true; /* on_ready() sends it */
 	c->busy = true;
--- a/src/transport/http_pipeline.h
+++ b/src/transport/http_pipeline.h
@@ -15,7 +15,7 @@
 
 struct http_pipeline;
 /** The place of one request in the order of its connection. */
-struct http_turn;
+struct http_pipelined;
 
 /** A request head, parsed in place. */
 struct http_head {
@@ -28,10 +28,10 @@
 	/** A request arrived. text holds the texts of head and is the handler's
 	 * to free. The handler must call http_pipeline_answer() once, unless
 	 * left() is called for the value that it returns. */
-	void (*request)(void *ctx, struct http_turn *turn, char *text,
+	void (*request)(void *ctx, struct http_pipelined *req, char *text,
 			const struct http_head *head);
 	/** The client left before the request with this value was answered; its
-	 *  turn is gone. */
+	 *  request is gone. */
 	void (*left)(void *ctx, void *value);
 	/** Takes over a connection whose next request is not read here. */
 	void (*hand_over)(void *ctx, int fd);
@@ -66,14 +66,14 @@
 				  struct http_pipeline **out);
 
 /** Sets the value that identifies the request at left(). */
-void http_pipeline_set(struct http_turn *turn, void *value);
+void http_pipeline_set(struct http_pipelined *req, void *value);
 
 /**
  * Answers a request; answers are sent in the order of the requests.
  *
  * @return false: there is no room for the answer, and nothing was done
  */
-bool http_pipeline_answer(struct http_turn *turn, int status,
+bool http_pipeline_answer(struct http_pipelined *req, int status,
 			  const struct fp_http_header *headers,
 			  uint32_t n_headers, const void *body,
 			  size_t body_bytes);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -329,13 +329,14 @@
 	};
 	struct fp_http_server *s = x->server;
 
-	if (x->turn && !http_pipeline_answer(x->turn, status, headers,
-					     n_headers, body, body_bytes)) {
+	if (x->pipelined &&
+	    !http_pipeline_answer(x->pipelined, status, headers, n_headers,
+				  body, body_bytes)) {
 		fp_log(FP_LOG_WARN, "answer_given_up",
 		       "cause=no-room bytes=%zu", body_bytes);
-		http_pipeline_answer(x->turn, 502, lost, 2, "", 0);
+		http_pipeline_answer(x->pipelined, 502, lost, 2, "", 0);
 	}
-	if (x->ended || x->turn) {
+	if (x->ended || x->pipelined) {
 		exchange_free(x);
 		return;
 	}
@@ -372,7 +373,7 @@
 
 /* --- requests that the library does not read --- */
 
-static void on_pipelined(void *ctx, struct http_turn *turn, char *text,
+static void on_pipelined(void *ctx, struct http_pipelined *req, char *text,
 			 const struct http_head *head)
 {
 	struct fp_http_server *s = ctx;
@@ -385,14 +386,14 @@
 	if (!x)
 		abort();
 	x->server = s;
-	x->turn = turn;
+	x->pipelined = req;
 	x->text = text;
 	x->state = WAITING;
 	memcpy(x->headers, head->headers,
 	       head->n_headers * sizeof(head->headers[0]));
 	x->n_headers = head->n_headers;
 	exchange_link(s, x);
-	http_pipeline_set(turn, x);
+	http_pipeline_set(req, x);
 	s->handler.request(s->handler.ctx, x, &r);
 }
 
@@ -401,7 +402,7 @@
 	struct fp_http_exchange *x = value;
 
 	(void)ctx;
-	x->turn = NULL;
+	x->pipelined = NULL;
 	x->ended = true;
 	notify_client_left(x);
 }
--- a/src/transport/http_server_private.h
+++ b/src/transport/http_server_private.h
@@ -30,7 +30,8 @@
 	struct fp_byte_holder hold; /* first member */
 	struct fp_http_server *server;
 	struct MHD_Connection *conn;
-	struct http_turn *turn; /* of a request that the library did not read */
+	struct http_pipelined
+		*pipelined; /* of a request that the library did not read */
 	char *text; /* of such a request */
 	enum exchange_state state;
 	bool suspended;
--- a/test/test_balancer.cc
+++ b/test/test_balancer.cc
@@ -420,9 +420,9 @@
 	fp_balancer_note_speed(f.c, id, route, &speed, f.now_us);
 }
 
-/* Paces of 0.5 and 2: weights 4 to 1, and of two different draws the fast one.
+/* Slowdowns of 0.5 and 2: weights 4 to 1, and of two different draws the fast one.
  * One pick in sixteen goes by slots, so that the slow one is not forgotten. */
-TEST(Balancer, FollowsThePace)
+TEST(Balancer, FollowsTheSlowdown)
 {
 	sim_fleet f;
 
@@ -451,7 +451,7 @@
 	EXPECT_NEAR(0.5, idle_fraction(f), 0.02);
 }
 
-TEST(Balancer, IgnoresOldNewsOfThePace)
+TEST(Balancer, IgnoresOldNewsOfTheSlowdown)
 {
 	sim_fleet f;
 
@@ -465,7 +465,7 @@
 }
 
 /* A worker that gets the longer requests is not slow. */
-TEST(Balancer, ComparesThePaceByRoute)
+TEST(Balancer, ComparesTheSlowdownByRoute)
 {
 	sim_fleet f;
 
--- a/test/test_byte_account.cc
+++ b/test/test_byte_account.cc
@@ -1,5 +1,5 @@
 /*
- * test_byte_account.cc - who may hold bytes, who waits and who gives way
+ * test_byte_account.cc - who may hold bytes, who waits and what is evicted
  */
 #include <gtest/gtest.h>
 
@@ -22,14 +22,14 @@
 	struct fp_byte_holder h = {}; /* first member */
 	uint32_t address = 0;
 	int n_resumed = 0;
-	int n_gave_way = 0;
-	enum fp_byte_why why = FP_BYTES_STALLED;
+	int n_evicted = 0;
+	enum fp_byte_eviction why = FP_BYTES_STALLED;
 };
 
 const struct fp_byte_holder_ops ops = {
 	[](struct fp_byte_holder *h) { ((Body *)h)->n_resumed++; },
-	[](struct fp_byte_holder *h, enum fp_byte_why why) {
-		((Body *)h)->n_gave_way++;
+	[](struct fp_byte_holder *h, enum fp_byte_eviction why) {
+		((Body *)h)->n_evicted++;
 		((Body *)h)->why = why;
 	},
 };
@@ -122,17 +122,17 @@
 	EXPECT_EQ(1, bodies.back().n_resumed);
 }
 
-TEST_F(ByteAccount, AStalledBodyGivesWayOnlyWhenOthersWait)
+TEST_F(ByteAccount, AStalledBodyIsEvictedOnlyWhenOthersWait)
 {
 	Body &stalled = arrive(1, LIMIT / 2);
 
 	pass(5 * FP_US_PER_S);
-	EXPECT_EQ(0, stalled.n_gave_way);
+	EXPECT_EQ(0, stalled.n_evicted);
 	Body &next = arrive(2, LIMIT / 2);
 	EXPECT_TRUE(may);
-	EXPECT_EQ(1, stalled.n_gave_way);
+	EXPECT_EQ(1, stalled.n_evicted);
 	EXPECT_EQ(FP_BYTES_NEEDED, stalled.why);
-	EXPECT_EQ(0, next.n_gave_way);
+	EXPECT_EQ(0, next.n_evicted);
 }
 
 TEST_F(ByteAccount, AByteNowAndThenIsNoProgress)
@@ -147,8 +147,8 @@
 	}
 	arrive(3, LIMIT / 4);
 	EXPECT_TRUE(may);
-	EXPECT_EQ(1, trickle.n_gave_way);
-	EXPECT_EQ(0, steady.n_gave_way);
+	EXPECT_EQ(1, trickle.n_evicted);
+	EXPECT_EQ(0, steady.n_evicted);
 }
 
 TEST_F(ByteAccount, WithoutPressureABodyMayTakeUpToTheIdleTimeout)
@@ -156,13 +156,13 @@
 	Body &b = arrive(1, 1000);
 
 	pass(14 * FP_US_PER_S);
-	EXPECT_EQ(0, b.n_gave_way);
+	EXPECT_EQ(0, b.n_evicted);
 	pass(FP_US_PER_S);
-	EXPECT_EQ(1, b.n_gave_way);
+	EXPECT_EQ(1, b.n_evicted);
 	EXPECT_EQ(FP_BYTES_STALLED, b.why);
 }
 
-TEST_F(ByteAccount, WhatIsCompleteNeverGivesWay)
+TEST_F(ByteAccount, WhatIsCompleteNeverIsEvicted)
 {
 	Body &b = arrive(1, LIMIT / 2);
 	Body &answer = arrive(1, 1000);
@@ -176,12 +176,12 @@
 	EXPECT_FALSE(fp_byte_keep(a, &kept.h, LIMIT / 4, now()));
 	EXPECT_EQ(FP_BYTES_NONE, kept.h.phase);
 	pass(20 * FP_US_PER_S);
-	EXPECT_EQ(0, b.n_gave_way);
-	/* A reader that made no progress gives way, a running request does
+	EXPECT_EQ(0, b.n_evicted);
+	/* A reader that made no progress is evicted, a running request does
 	 * not. */
 	EXPECT_TRUE(fp_byte_keep(a, &kept.h, LIMIT / 4, now()));
-	EXPECT_EQ(1, answer.n_gave_way);
-	EXPECT_EQ(0, b.n_gave_way);
+	EXPECT_EQ(1, answer.n_evicted);
+	EXPECT_EQ(0, b.n_evicted);
 	EXPECT_FALSE(fp_byte_keep(a, &second.h, 1 << 20, now()));
 	EXPECT_TRUE(fp_byte_set_received(a, LIMIT / 4, now()));
 	EXPECT_TRUE(fp_byte_set_received(a, 0, now()));
@@ -195,12 +195,12 @@
 	Body kept;
 
 	EXPECT_TRUE(fp_byte_keep(a, &kept.h, LIMIT / 2, now()));
-	EXPECT_EQ(0, first.n_gave_way);
-	EXPECT_EQ(1, most.n_gave_way);
+	EXPECT_EQ(0, first.n_evicted);
+	EXPECT_EQ(1, most.n_evicted);
 	EXPECT_TRUE(fp_byte_set_received(a, LIMIT / 4, now()));
-	EXPECT_EQ(0, first.n_gave_way);
+	EXPECT_EQ(0, first.n_evicted);
 	EXPECT_TRUE(fp_byte_set_received(a, LIMIT / 2, now()));
-	EXPECT_EQ(1, first.n_gave_way);
+	EXPECT_EQ(1, first.n_evicted);
 	EXPECT_FALSE(fp_byte_set_received(a, LIMIT / 2 + 1, now()));
 	EXPECT_EQ(LIMIT, totals().held_bytes);
 	EXPECT_TRUE(fp_byte_set_received(a, 0, now()));
@@ -230,9 +230,9 @@
 	Body &waits = arrive(2, LIMIT);
 	EXPECT_FALSE(may);
 	pass(19 * TICK_US);
-	EXPECT_EQ(0, waits.n_gave_way);
+	EXPECT_EQ(0, waits.n_evicted);
 	pass(TICK_US);
-	EXPECT_EQ(1, waits.n_gave_way);
+	EXPECT_EQ(1, waits.n_evicted);
 	EXPECT_EQ(FP_BYTES_NO_ROOM, waits.why);
 }
 
@@ -241,7 +241,7 @@
 TEST_F(ByteAccount, StepsDoNotBlockEachOther)
 {
 	std::vector<Body *> all;
-	int n_gave_way = 0;
+	int n_evicted = 0;
 	int n_resumed = 0;
 
 	for (int i = 0; i < 12; i++)
@@ -250,21 +250,21 @@
 		EXPECT_FALSE(fp_byte_reserve(a, &b->h, 2 << 20, now()));
 	pass(15 * TICK_US);
 	for (auto *b : all) {
-		n_gave_way += b->n_gave_way;
+		n_evicted += b->n_evicted;
 		n_resumed += b->n_resumed;
 	}
 	EXPECT_GE(n_resumed, 5);
-	EXPECT_LE(n_gave_way, 7);
+	EXPECT_LE(n_evicted, 7);
 }
 
-TEST_F(ByteAccount, TheReserveNeverGivesWay)
+TEST_F(ByteAccount, TheReserveNeverIsEvicted)
 {
 	Body &own = arrive(1, 1000);
 
 	own.h.reserved = true;
 	EXPECT_TRUE(fp_byte_reserve(a, &own.h, LIMIT, now()));
 	pass(20 * FP_US_PER_S);
-	EXPECT_EQ(0, own.n_gave_way);
+	EXPECT_EQ(0, own.n_evicted);
 }
 
 /* Thousands of clients that stall, leave and come back, and a steady one at an
@@ -281,13 +281,13 @@
 			arrive(1 + random() % 50,
 			       (1 + random() % 64) * (size_t)(128 << 10));
 		Body &honest = arrive(99, 1 << 20);
-		for (int i = 0; i < 25 && !may && !honest.n_gave_way; i++) {
+		for (int i = 0; i < 25 && !may && !honest.n_evicted; i++) {
 			pass(TICK_US);
 			may = honest.n_resumed > 0;
 			EXPECT_LE(totals().held_bytes, LIMIT);
 		}
 		n_served += may;
-		n_refused += honest.n_gave_way;
+		n_refused += honest.n_evicted;
 		if (may)
 			fp_byte_complete(a, &honest.h);
 		fp_byte_end(a, &honest.h);
--- a/test/test_cold_rate.cc
+++ b/test/test_cold_rate.cc
@@ -44,7 +44,7 @@
 
 TEST_F(ColdRate, AServiceWithoutARateIsNotPaced)
 {
-	fp_cold_rate_told(c, 3 * second, second);
+	fp_cold_rate_reported(c, 3 * second, second);
 	for (int i = 0; i < 1000; i++)
 		fp_cold_rate_started(c, second);
 	EXPECT_EQ(0, fp_cold_rate_wait_us(c, second));
@@ -54,21 +54,21 @@
 TEST_F(ColdRate, AColdWorkerGetsItsRate)
 {
 	fp_cold_rate_set(c, 11, 3 * second);
-	fp_cold_rate_told(c, 60 * second, second);
+	fp_cold_rate_reported(c, 60 * second, second);
 	EXPECT_NEAR(110, start_all(second, 10 * second), 11);
 }
 
 TEST_F(ColdRate, ALowRateIsNoRateOfNone)
 {
 	fp_cold_rate_set(c, 1, 3 * second);
-	fp_cold_rate_told(c, 60 * second, second);
+	fp_cold_rate_reported(c, 60 * second, second);
 	EXPECT_NEAR(10, start_all(second, 10 * second), 1);
 }
 
 TEST_F(ColdRate, TheTimeThatWasToldEndsByItself)
 {
 	fp_cold_rate_set(c, 2, 3 * second);
-	fp_cold_rate_told(c, 2 * second, second);
+	fp_cold_rate_reported(c, 2 * second, second);
 	start_all(second, 100000);
 	EXPECT_GT(fp_cold_rate_wait_us(c, second + 100000), 0);
 	EXPECT_EQ(0, fp_cold_rate_wait_us(c, 3 * second));
@@ -78,24 +78,24 @@
 TEST_F(ColdRate, DoubtEndsWhenTheWorkerSpeaksOrAStartIsOver)
 {
 	fp_cold_rate_set(c, 2, 3 * second);
-	fp_cold_rate_doubt(c, second);
+	fp_cold_rate_assume(c, second);
 	EXPECT_EQ(3 * second, fp_cold_rate_left_us(c, second));
-	fp_cold_rate_told(c, 0, 3 * second);
+	fp_cold_rate_reported(c, 0, 3 * second);
 	EXPECT_EQ(0, fp_cold_rate_left_us(c, 3 * second));
-	fp_cold_rate_doubt(c, 4 * second);
+	fp_cold_rate_assume(c, 4 * second);
 	EXPECT_GT(fp_cold_rate_left_us(c, 7 * second - 1), 0);
 	EXPECT_EQ(0, fp_cold_rate_left_us(c, 7 * second));
 }
 
-/* An announcement that was under way when the doubt began does not end it; one
- * that says more than the doubt assumes counts. */
-TEST_F(ColdRate, ALateAnnouncementEndsNoDoubt)
+/* A report that was under way when the worker was first assumed cold does not end
+ * that; one of a longer time counts. */
+TEST_F(ColdRate, AnOlderReportDoesNotEndTheAssumedTime)
 {
 	fp_cold_rate_set(c, 2, 3 * second);
-	fp_cold_rate_doubt(c, second);
-	fp_cold_rate_told(c, 0, 2 * second);
+	fp_cold_rate_assume(c, second);
+	fp_cold_rate_reported(c, 0, 2 * second);
 	EXPECT_EQ(2 * second, fp_cold_rate_left_us(c, 2 * second));
-	fp_cold_rate_told(c, 9 * second, 2 * second);
+	fp_cold_rate_reported(c, 9 * second, 2 * second);
 	EXPECT_EQ(9 * second, fp_cold_rate_left_us(c, 2 * second));
 }
 
@@ -103,13 +103,13 @@
 TEST_F(ColdRate, DoubtKeepsALongerTime)
 {
 	fp_cold_rate_set(c, 2, 3 * second);
-	fp_cold_rate_told(c, 8 * second, second);
-	fp_cold_rate_doubt(c, second);
+	fp_cold_rate_reported(c, 8 * second, second);
+	fp_cold_rate_assume(c, second);
 	EXPECT_EQ(8 * second, fp_cold_rate_left_us(c, second));
 }
 
 /*
- * Random arrivals at random rates; the worker turns cold and warm, with doubt
+ * Random arrivals at random rates; the worker turns cold and warm, with assumed times
  * in between. In no second all of which it counts as cold are more requests
  * started than its rate. At the beginning of a cold time those are counted that
  * were started before.
@@ -130,14 +130,14 @@
 					 (random() % 3 ? 20000 : 60000));
 			switch (random() % 200) {
 			case 0:
-				fp_cold_rate_told(c, 0, now);
+				fp_cold_rate_reported(c, 0, now);
 				break;
 			case 1:
-				fp_cold_rate_told(
+				fp_cold_rate_reported(
 					c, (int64_t)(random() % 3000000), now);
 				break;
 			case 2:
-				fp_cold_rate_doubt(c, now);
+				fp_cold_rate_assume(c, now);
 				break;
 			}
 			int64_t wait_us = fp_cold_rate_wait_us(c, now);
--- a/test/test_http_server.cc
+++ b/test/test_http_server.cc
@@ -293,7 +293,7 @@
 	close(second);
 }
 
-TEST_F(HttpServer, AStalledBodyGivesWayAndIsToldSo)
+TEST_F(HttpServer, AStalledBodyIsEvictedAndIsToldSo)
 {
 	const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\n"
 				 "Content-Length: 700\r\n\r\n";
--- a/test/test_worker_model.cc
+++ b/test/test_worker_model.cc
@@ -21,8 +21,8 @@
 	int64_t inner_us = 0; /* nested calls of a request */
 	bool full = false;
 	bool may_probe = true;
-	uint32_t target = 10; /* running requests, if there are places */
-	uint32_t places = SLOTS;
+	uint32_t target = 10; /* running requests, below the limit */
+	uint32_t limit = SLOTS;
 	uint32_t ended = 0;
 	struct request {
 		const char *route;
@@ -72,9 +72,9 @@
 			ended++;
 		}
 		running.swap(left);
-		places = fp_worker_model_places(m, SLOTS, full, may_probe,
-						now_us);
-		while (running.size() < target && running.size() < places)
+		limit = fp_worker_model_concurrency(m, SLOTS, full, may_probe,
+						    now_us);
+		while (running.size() < target && running.size() < limit)
 			start();
 	}
 	void run_s(double seconds)
@@ -111,8 +111,8 @@
 	EXPECT_EQ(0u, speed.own_us);
 	EXPECT_EQ(0u, speed.rate_per_s);
 	EXPECT_EQ(0u, speed.percent);
-	EXPECT_EQ(SLOTS,
-		  fp_worker_model_places(s.m, SLOTS, true, true, s.now_us));
+	EXPECT_EQ(SLOTS, fp_worker_model_concurrency(s.m, SLOTS, true, true,
+						     s.now_us));
 }
 
 /* Slow callees are not a slow machine: the worker's own time stays. */
@@ -201,7 +201,7 @@
 }
 
 /* Requests ended in five seconds by a full worker with a knee. */
-static uint32_t ended_when_full(bool may_probe, uint32_t *places)
+static uint32_t ended_when_full(bool may_probe, uint32_t *limit)
 {
 	sim_model s;
 
@@ -213,7 +213,7 @@
 	s.run_s(10);
 	s.ended = 0;
 	s.run_s(5);
-	*places = s.places;
+	*limit = s.limit;
 	return s.ended;
 }
 
@@ -224,7 +224,7 @@
 	uint32_t on = ended_when_full(true, &learned);
 	uint32_t off = ended_when_full(false, &unlearned);
 
-	printf("seed %ju ended in 5 s: %u with %u places, %u with %u\n",
+	printf("seed %ju ended in 5 s: %u with a limit of %u, %u with %u\n",
 	       (uintmax_t)SEED, on, learned, off, unlearned);
 	EXPECT_EQ(SLOTS, unlearned);
 	EXPECT_LE(learned, SLOTS * 4 / 5);
@@ -241,14 +241,14 @@
 	s.target = SLOTS;
 	s.full = true;
 	s.run_s(10);
-	EXPECT_LE(s.places, SLOTS * 4 / 5);
+	EXPECT_LE(s.limit, SLOTS * 4 / 5);
 	s.knee = 1;
 	s.may_probe = false;
 	s.run_s(10);
-	EXPECT_LE(s.places, SLOTS * 4 / 5);
+	EXPECT_LE(s.limit, SLOTS * 4 / 5);
 	s.may_probe = true;
 	s.run_s(40);
-	EXPECT_GE(s.places, SLOTS * 9 / 10);
+	EXPECT_GE(s.limit, SLOTS * 9 / 10);
 }
 
 /* A worker that takes all its slots well keeps them, but for short probes. */
@@ -261,8 +261,8 @@
 	s.full = true;
 	for (int i = 0; i < 60000; i++) {
 		s.step();
-		ASSERT_LE(s.places, SLOTS);
-		limited_ms += s.places < SLOTS;
+		ASSERT_LE(s.limit, SLOTS);
+		limited_ms += s.limit < SLOTS;
 	}
 	EXPECT_LT(limited_ms, 60000 * 0.05);
 }
@@ -274,7 +274,7 @@
 	s.run_s(5);
 	fp_worker_model_reset(s.m, s.now_us);
 	EXPECT_EQ(0u, s.read("short").own_us);
-	fp_worker_model_places(s.m, SLOTS, false, false, s.now_us);
+	fp_worker_model_concurrency(s.m, SLOTS, false, false, s.now_us);
 	/* Runs that the one before began tell nothing. */
 	for (auto &r : s.running)
 		fp_worker_model_ended(s.m, &r.run, r.route, 0, true,
--- a/test/uneven_sim.h
+++ b/test/uneven_sim.h
@@ -318,7 +318,7 @@
 		}
 		fp_admission_read_load(w.a, &load);
 		if (way == WAY_LEARNED) {
-			w.p.slots = fp_worker_model_places(
+			w.p.slots = fp_worker_model_concurrency(
 				w.m, SLOTS, load.queued > 0, true, now_us);
 			fp_admission_set_params(w.a, &w.p, now_us);
 		}
