--- a/src/node/limits.c
+++ b/src/node/limits.c
@@ -66,7 +66,8 @@
 	t->retry_limits = apr_hash_make(t->pool);
 	if (!t->early_shed || !t->load_view || !t->poison || !t->caller_retries)
 		abort();
-	fp_early_shed_use_room(t->early_shed, t->settings->tree_room);
+	fp_early_shed_use_tree_admission(t->early_shed,
+					 t->settings->tree_admission);
 }
 
 void limits_end(struct fp_traffic *t)
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -76,8 +76,8 @@
 			    *   for comparisons */
 	bool equal_servers; /**< learn_servers = "off": the servers of a service
 			     *   are taken to be equal, but for their slots */
-	bool tree_room; /**< tree_room = "on": entries admit call trees by the
-			 *   room of the services that these call often */
+	bool tree_admission; /**< tree_admission = "on": entries admit call trees by the
+			 *   occupancy of services that these call often */
 
 	/* [bounds] */
 	int64_t revoke_us; /**< longest time a withdrawn key is accepted */
--- a/src/state/early_shed.c
+++ b/src/state/early_shed.c
@@ -42,7 +42,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "state/tree_room.h"
+#include "state/tree_admission.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -93,7 +93,7 @@
 	double log_low[FP_SHED_RANK_COUNT];
 	/* refused fraction, smoothed with LEAD_S to estimate its trend */
 	double slow_refused[FP_SHED_RANK_COUNT];
-	struct fp_tree_room room;
+	struct fp_tree_admission trees;
 	struct worker_report workers[MAX_WORKERS];
 	uint32_t n_workers;
 };
@@ -115,7 +115,7 @@
 	uint32_t n_services;
 	struct route routes[MAX_ROUTES];
 	uint32_t n_routes;
-	bool use_room;
+	bool use_tree_admission;
 };
 
 struct fp_early_shed *fp_early_shed_init(void)
@@ -128,9 +128,9 @@
 	free(e);
 }
 
-void fp_early_shed_use_room(struct fp_early_shed *e, bool on)
+void fp_early_shed_use_tree_admission(struct fp_early_shed *e, bool on)
 {
-	e->use_room = on;
+	e->use_tree_admission = on;
 }
 
 static uint64_t hash_name(const char *name)
@@ -171,7 +171,7 @@
 	memcpy(s->name, name, strnlen(name, FP_NAME_BYTES - 1));
 	s->updated_us = now_us;
 	s->calls = 1;
-	fp_tree_room_init(&s->room);
+	fp_tree_admission_init(&s->trees);
 	for (i = 0; i < FP_SHED_RANK_COUNT; i++) {
 		s->admitted[i] = 1;
 		/* not 0, so that the first shrink() sets log_peak */
@@ -319,7 +319,7 @@
 				max_admitted, step_s);
 		max_admitted = s->admitted[i];
 	}
-	fp_tree_room_update(&s->room, used, step_s);
+	fp_tree_admission_update(&s->trees, used, step_s);
 }
 
 void fp_early_shed_update_load(struct fp_early_shed *e, uint64_t worker,
@@ -462,8 +462,8 @@
 	for (i = 0; r && i < r->n_called; i++) {
 		s = find_service(e, r->called[i].service);
 		if (s)
-			fp_tree_room_add_duration(&s->room,
-						  (double)tree_us / 1e6);
+			fp_tree_admission_add_duration(&s->trees,
+						       (double)tree_us / 1e6);
 	}
 }
 
@@ -482,13 +482,13 @@
 		if (!s)
 			continue;
 		update_service(s, now_us);
-		fp_tree_room_offer(&s->room, rank, r->called[i].calls);
+		fp_tree_admission_offer(&s->trees, rank, r->called[i].calls);
 		admitted = pow(s->admitted[rank],
 			       fmin(r->called[i].calls, CALLS_MAX));
 		admitted = fmax(admitted, ADMIT_MIN);
-		if (e->use_room)
-			admitted = fmin(admitted,
-					fp_tree_room_admitted(&s->room, rank));
+		if (e->use_tree_admission)
+			admitted = fmin(admitted, fp_tree_admission_admitted(
+							  &s->trees, rank));
 		if (admitted < lowest) {
 			lowest = admitted;
 			*service = s->name;
--- a/src/state/early_shed.h
+++ b/src/state/early_shed.h
@@ -39,8 +39,8 @@
 /** Makes empty tables; NULL when out of memory. */
 struct fp_early_shed *fp_early_shed_init(void);
 
-/** Whether trees are admitted by room too, see tree_room.h; off at first. */
-void fp_early_shed_use_room(struct fp_early_shed *e, bool on);
+/** Whether call trees are admitted by occupancy too, see tree_admission.h; off at first. */
+void fp_early_shed_use_tree_admission(struct fp_early_shed *e, bool on);
 
 /**
  * Updates the mean number of calls that a route makes to each service.
--- a/src/state/tree_room.c
+++ b/src/state/tree_admission.c
@@ -1,5 +1,5 @@
 /*
- * tree_room.c - fraction of new call trees that a deep service has room for
+ * tree_admission.c - fraction of new call trees that a deep service has capacity for
  *
  * A tree that calls a service k times fails if one of the calls is refused, and
  * pays for the queue of the service k times. Refusals and queues come too late
@@ -26,7 +26,7 @@
  * need not know of each other. A lost or paused entry leaves nothing behind.
  * Without reports the fractions return to 1 within RELEASE_S.
  */
-#include "state/tree_room.h"
+#include "state/tree_admission.h"
 
 #include <math.h>
 #include <string.h>
@@ -38,7 +38,7 @@
 #define STAGE_PART	   0.6 /* duration of a stage, in durations of a tree */
 #define FOLLOW_S	   0.08 /* time constant towards a new fraction */
 #define RANK_FLOOR	   0.5 /* share of the mean fraction that a rank keeps */
-#define SEVERAL		   1.5 /* mean calls of a tree from which room counts */
+#define SEVERAL		   1.5 /* mean calls of a tree from which it is used */
 #define DEMAND_S	   2.0 /* time constant of the offered calls */
 #define DURATION_DEFAULT_S 0.5 /* of a tree, until one has ended */
 #define DURATION_WEIGHT	   32 /* smoothing of the duration, in trees */
@@ -47,7 +47,7 @@
 #define ADMIT_MIN	   0.02 /* always admitted, to see the demand */
 #define USED_MIN	   0.01 /* lower bound of the occupancy */
 
-void fp_tree_room_init(struct fp_tree_room *r)
+void fp_tree_admission_init(struct fp_tree_admission *r)
 {
 	int i;
 
@@ -59,13 +59,14 @@
 	}
 }
 
-void fp_tree_room_offer(struct fp_tree_room *r, uint8_t rank, double calls)
+void fp_tree_admission_offer(struct fp_tree_admission *r, uint8_t rank,
+			     double calls)
 {
 	r->offered[rank] += calls;
 	r->roots += 1;
 }
 
-void fp_tree_room_add_duration(struct fp_tree_room *r, double tree_s)
+void fp_tree_admission_add_duration(struct fp_tree_admission *r, double tree_s)
 {
 	tree_s = fmin(tree_s, DURATION_MAX_S);
 	if (r->tree_s == 0)
@@ -83,13 +84,13 @@
 	return total;
 }
 
-bool fp_tree_room_applies(const struct fp_tree_room *r)
+bool fp_tree_admission_applies(const struct fp_tree_admission *r)
 {
 	return r->roots > 0 && sum(r->offered) >= SEVERAL * r->roots;
 }
 
 /* Occupancy at which all offered trees together would hold the service. */
-static double demand(const struct fp_tree_room *r, double used)
+static double demand(const struct fp_tree_admission *r, double used)
 {
 	double present = 0;
 	int i;
@@ -101,9 +102,9 @@
 	return fmax(used, USED_MIN) * sum(r->offered) / present;
 }
 
-/* Gives the room to the ranks in order and moves the fractions there; all:
+/* Gives the capacity to the ranks in order and moves the fractions there; all:
  * demand of all ranks. */
-static void divide(struct fp_tree_room *r, double all, double step_s)
+static void divide(struct fp_tree_admission *r, double all, double step_s)
 {
 	double weight = 1 - exp(-step_s / FOLLOW_S);
 	double total = sum(r->offered);
@@ -124,7 +125,7 @@
 	}
 }
 
-static void release(struct fp_tree_room *r, double step_s)
+static void release(struct fp_tree_admission *r, double step_s)
 {
 	int i;
 
@@ -132,7 +133,8 @@
 		r->admitted[i] = fmin(1, r->admitted[i] + step_s / RELEASE_S);
 }
 
-void fp_tree_room_update(struct fp_tree_room *r, double used, double step_s)
+void fp_tree_admission_update(struct fp_tree_admission *r, double used,
+			      double step_s)
 {
 	double tree_s = r->tree_s > 0 ? r->tree_s : DURATION_DEFAULT_S;
 	double weight = 1 - exp(-step_s / fmax(tree_s * STAGE_PART, step_s));
@@ -143,7 +145,7 @@
 		r->begun[i] += (r->admitted[i] - r->begun[i]) * weight;
 		r->present[i] += (r->begun[i] - r->present[i]) * weight;
 	}
-	if (used < 0 || !fp_tree_room_applies(r))
+	if (used < 0 || !fp_tree_admission_applies(r))
 		release(r, step_s);
 	else
 		divide(r, demand(r, used), step_s);
@@ -152,7 +154,8 @@
 	r->roots *= kept;
 }
 
-double fp_tree_room_admitted(const struct fp_tree_room *r, uint8_t rank)
+double fp_tree_admission_admitted(const struct fp_tree_admission *r,
+				  uint8_t rank)
 {
 	return r->admitted[rank];
 }
--- a/src/state/tree_room.h
+++ b/src/state/tree_admission.h
@@ -1,6 +1,6 @@
-/* tree_room.h - fraction of new call trees that a deep service has room for */
-#ifndef FP_STATE_TREE_ROOM_H
-#define FP_STATE_TREE_ROOM_H
+/* tree_admission.h - fraction of new call trees that a deep service has capacity for */
+#ifndef FP_STATE_TREE_ADMISSION_H
+#define FP_STATE_TREE_ADMISSION_H
 
 #include <stdbool.h>
 
@@ -11,7 +11,7 @@
 #endif
 
 /** Room of one service as one entry sees it. */
-struct fp_tree_room {
+struct fp_tree_admission {
 	/* calls to the service that the roots offered here would make, by rank;
 	 * decays with DEMAND_S */
 	double offered[FP_SHED_RANK_COUNT];
@@ -24,13 +24,14 @@
 };
 
 /** Admits everything. */
-void fp_tree_room_init(struct fp_tree_room *r);
+void fp_tree_admission_init(struct fp_tree_admission *r);
 
 /** Counts an offered root, admitted or not, that makes calls to the service. */
-void fp_tree_room_offer(struct fp_tree_room *r, uint8_t rank, double calls);
+void fp_tree_admission_offer(struct fp_tree_admission *r, uint8_t rank,
+			     double calls);
 
 /** Adds the duration of a complete tree, seconds. */
-void fp_tree_room_add_duration(struct fp_tree_room *r, double tree_s);
+void fp_tree_admission_add_duration(struct fp_tree_admission *r, double tree_s);
 
 /**
  * Updates the admitted fractions.
@@ -39,14 +40,16 @@
  *                the limit, above 1 when requests wait; negative: unknown
  * @param step_s  time since the last update, seconds
  */
-void fp_tree_room_update(struct fp_tree_room *r, double used, double step_s);
+void fp_tree_admission_update(struct fp_tree_admission *r, double used,
+			      double step_s);
 
 /** Whether the trees that call the service call it several times, so that they
- * are admitted by its room. */
-bool fp_tree_room_applies(const struct fp_tree_room *r);
+ * are admitted by its occupancy. */
+bool fp_tree_admission_applies(const struct fp_tree_admission *r);
 
 /** Fraction of the offered roots of a rank that is admitted, 0..1. */
-double fp_tree_room_admitted(const struct fp_tree_room *r, uint8_t rank);
+double fp_tree_admission_admitted(const struct fp_tree_admission *r,
+				  uint8_t rank);
 
 #ifdef __cplusplus
 }
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -67,7 +67,7 @@
 	EXPECT_EQ(600u, s.claim_lifetime_s);
 	EXPECT_FALSE(s.overload_off);
 	EXPECT_FALSE(s.equal_servers);
-	EXPECT_TRUE(s.tree_room);
+	EXPECT_TRUE(s.tree_admission);
 	EXPECT_EQ(FP_LOG_INFO, s.log_level);
 }
 
@@ -84,7 +84,7 @@
 				      "\"\n"
 				      "[overload]\nmode = \"off\"\n"
 				      "learn_servers = \"off\"\n"
-				      "tree_room = \"off\"\n"
+				      "tree_admission = \"off\"\n"
 				      "[log]\nlevel = \"error\"\n"
 				      "[limits]\nmax_body_bytes = 16777216\n",
 			      &s, &why))
@@ -94,7 +94,7 @@
 	EXPECT_TRUE(s.has_bootstrap_operator);
 	EXPECT_TRUE(s.overload_off);
 	EXPECT_TRUE(s.equal_servers);
-	EXPECT_FALSE(s.tree_room);
+	EXPECT_FALSE(s.tree_admission);
 	EXPECT_EQ(FP_LOG_ERROR, s.log_level);
 	EXPECT_EQ(16777216u, s.max_body_bytes);
 }
--- a/test/test_tree_room.cc
+++ b/test/test_tree_admission.cc
@@ -1,4 +1,4 @@
-/* test_tree_room.cc - call trees that compete for the room of a deep service */
+/* test_tree_admission.cc - call trees that compete for the room of a deep service */
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -11,7 +11,7 @@
 
 #include "sim_worker.h"
 #include "state/early_shed.h"
-#include "state/tree_room.h"
+#include "state/tree_admission.h"
 
 namespace
 {
@@ -97,7 +97,7 @@
 	double due = 0;
 	bool reports_lost = false;
 
-	explicit graph(bool use_room) : room(use_room)
+	explicit graph(bool use_tree_admission) : room(use_tree_admission)
 	{
 		for (int i = 0; i < N_SERVICES; i++) {
 			struct fp_admission_params p = { false,
@@ -114,7 +114,7 @@
 		}
 		for (auto &e : entries) {
 			e = fp_early_shed_init();
-			fp_early_shed_use_room(e, room);
+			fp_early_shed_use_tree_admission(e, room);
 			for (const route &r : routes)
 				learn(e, r, 800000);
 		}
@@ -413,7 +413,7 @@
 }
 
 /* "refusals" is the control by refused calls alone, in the same run. */
-TEST(TreeRoomGraph, TreesThatAreBegunAreFinished)
+TEST(TreeAdmissionGraph, TreesThatAreBegunAreFinished)
 {
 	for (double factor : { 0.8, 1.0, 1.5, 3.0 }) {
 		graph before(false);
@@ -446,7 +446,7 @@
 	}
 }
 
-TEST(TreeRoomGraph, NormalSoonAfterABurst)
+TEST(TreeAdmissionGraph, NormalSoonAfterABurst)
 {
 	int normal_s[2];
 
@@ -470,7 +470,7 @@
 	EXPECT_LE(normal_s[true], normal_s[false]);
 }
 
-TEST(TreeRoomGraph, FollowsAWave)
+TEST(TreeAdmissionGraph, FollowsAWave)
 {
 	graph before(false);
 	graph after(true);
@@ -487,7 +487,7 @@
 }
 
 /* Half of the service is lost for 3 s. */
-TEST(TreeRoomGraph, LossOfWorkers)
+TEST(TreeAdmissionGraph, LossOfWorkers)
 {
 	double served[2];
 
@@ -511,7 +511,7 @@
 }
 
 /* Reports end while trees are refused; the overload has ended too. */
-TEST(TreeRoomGraph, LostReportsEndTheRefusals)
+TEST(TreeAdmissionGraph, LostReportsEndTheRefusals)
 {
 	graph g(true);
 
@@ -526,19 +526,19 @@
 
 /* ---- single decisions ---- */
 
-struct TreeRoom : testing::Test {
-	struct fp_tree_room r;
+struct TreeAdmission : testing::Test {
+	struct fp_tree_admission r;
 
-	TreeRoom()
+	TreeAdmission()
 	{
-		fp_tree_room_init(&r);
+		fp_tree_admission_init(&r);
 	}
 	/* 0.1 s with a root of each rank and the service this full. */
 	void step(double used, double calls)
 	{
 		for (uint8_t rank = 0; rank < 3; rank++)
-			fp_tree_room_offer(&r, rank, calls);
-		fp_tree_room_update(&r, used, 0.1);
+			fp_tree_admission_offer(&r, rank, calls);
+		fp_tree_admission_update(&r, used, 0.1);
 	}
 	void second(double used, double calls)
 	{
@@ -547,47 +547,47 @@
 	}
 };
 
-TEST_F(TreeRoom, AdmitsAllWhileThereIsRoom)
+TEST_F(TreeAdmission, AdmitsAllWhileThereIsRoom)
 {
 	second(0.8, 4);
 	for (uint8_t rank = 0; rank < 3; rank++)
-		EXPECT_NEAR(1, fp_tree_room_admitted(&r, rank), 0.001);
+		EXPECT_NEAR(1, fp_tree_admission_admitted(&r, rank), 0.001);
 }
 
 /* The demand is 1.7, twice the target; one third of it is of each rank. */
-TEST_F(TreeRoom, ServesRanksInOrderAndStarvesNone)
+TEST_F(TreeAdmission, ServesRanksInOrderAndStarvesNone)
 {
 	for (int i = 0; i < 400; i++)
 		step(1.7 *
-			     (fp_tree_room_admitted(&r, 0) +
-			      fp_tree_room_admitted(&r, 1) +
-			      fp_tree_room_admitted(&r, 2)) /
+			     (fp_tree_admission_admitted(&r, 0) +
+			      fp_tree_admission_admitted(&r, 1) +
+			      fp_tree_admission_admitted(&r, 2)) /
 			     3,
 		     4);
-	EXPECT_NEAR(1, fp_tree_room_admitted(&r, 0), 0.01);
-	EXPECT_NEAR(0.25, fp_tree_room_admitted(&r, 1), 0.02);
-	EXPECT_NEAR(0.25, fp_tree_room_admitted(&r, 2), 0.02);
+	EXPECT_NEAR(1, fp_tree_admission_admitted(&r, 0), 0.01);
+	EXPECT_NEAR(0.25, fp_tree_admission_admitted(&r, 1), 0.02);
+	EXPECT_NEAR(0.25, fp_tree_admission_admitted(&r, 2), 0.02);
 }
 
-TEST_F(TreeRoom, DoesNotApplyToTreesWithOneCall)
+TEST_F(TreeAdmission, DoesNotApplyToTreesWithOneCall)
 {
 	second(3, 1);
-	EXPECT_FALSE(fp_tree_room_applies(&r));
-	EXPECT_EQ(1, fp_tree_room_admitted(&r, 2));
-	fp_tree_room_init(&r);
+	EXPECT_FALSE(fp_tree_admission_applies(&r));
+	EXPECT_EQ(1, fp_tree_admission_admitted(&r, 2));
+	fp_tree_admission_init(&r);
 	second(3, 2);
-	EXPECT_TRUE(fp_tree_room_applies(&r));
-	EXPECT_LT(fp_tree_room_admitted(&r, 2), 1);
+	EXPECT_TRUE(fp_tree_admission_applies(&r));
+	EXPECT_LT(fp_tree_admission_admitted(&r, 2), 1);
 }
 
-TEST_F(TreeRoom, ReturnsToAllWithoutReports)
+TEST_F(TreeAdmission, ReturnsToAllWithoutReports)
 {
 	second(4, 4);
 	second(4, 4);
-	EXPECT_LT(fp_tree_room_admitted(&r, 2), 0.5);
+	EXPECT_LT(fp_tree_admission_admitted(&r, 2), 0.5);
 	second(-1, 4);
 	second(-1, 4);
-	EXPECT_EQ(1, fp_tree_room_admitted(&r, 2));
+	EXPECT_EQ(1, fp_tree_admission_admitted(&r, 2));
 }
 
 } // namespace
