A refusal of a pipelined request arrives although the account is full

Cause: an answer to a request that was read ahead draws from the account of bytes once its connection holds more than 4 KiB. A refusal without room there was replaced by 502 with the outcome "ran", though the request had not run. Found by reading.

HttpPipelineAccount.ARefusalIsSentWithoutRoom fails without it.

--- a/src/transport/http_pipeline.c
+++ b/src/transport/http_pipeline.c
@@ -44,8 +44,11 @@
 /* Requests of all connections from which only the first of each is read. Each
  * takes about 12 KB while it is in progress. */
 #define MAX_AHEAD 1024
-/* Answers up to this size are not in the account while they are the only ones
- * of their connection. */
+/* Answers up to this size are never in the account, so that a refusal arrives as
+ * it is; MAX_PIPELINED of them are small. */
+#define REFUSAL_BYTES 256
+/* Answers are not in the account while those of their connection are together no
+ * larger than this. */
 #define SMALL_BYTES	  4096
 #define PEEK_BYTES	  16384 /* read at once */
 #define MAX_HELD_BYTES	  (256 * 1024) /* unsent, above it nothing is read */
@@ -664,7 +667,8 @@
 	struct connection *c = t->conn;
 	struct http_pipeline *p = c->p;
 
-	if (!p->account || c->held_bytes + bytes <= SMALL_BYTES)
+	if (!p->account || bytes <= REFUSAL_BYTES ||
+	    c->held_bytes + bytes <= SMALL_BYTES)
 		return true;
 	t->hold.ops = &ops;
 	return fp_byte_send(p->account, &t->hold, c->address, bytes,
--- a/test/test_http_pipeline.cc
+++ b/test/test_http_pipeline.cc
@@ -98,6 +98,7 @@
 		cfg.max_header_bytes = 4096;
 		cfg.max_connections = 3;
 		cfg.read_ahead = true;
+		cfg.account = account;
 		h.request = [](void *ctx, struct fp_http_exchange *x,
 			       const struct fp_http_request *r) {
 			auto *t = static_cast<HttpPipeline *>(ctx);
@@ -130,6 +131,7 @@
 		if (fd >= 0)
 			close(fd);
 		fp_http_server_end(server);
+		fp_byte_account_end(account);
 		fp_loop_end(loop);
 	}
 	int open_connection()
@@ -198,6 +200,7 @@
 	std::map<std::string, struct fp_http_exchange *> waiting;
 	std::string got;
 	int n_left = 0;
+	struct fp_byte_account *account = nullptr;
 	int fd = -1;
 	bool closed = false;
 	bool paused = false; /* the client takes no answers */
@@ -364,4 +367,37 @@
 		close(s);
 }
 
+/* A refusal says whether the request ran. It must arrive as it is although answers
+ * before it are not sent and the account is full. */
+class HttpPipelineAccount : public HttpPipeline
+{
+      protected:
+	HttpPipelineAccount()
+	{
+		account = fp_byte_account_init(10);
+	}
+};
+
+TEST_F(HttpPipelineAccount, ARefusalIsSentWithoutRoom)
+{
+	struct fp_http_header outcome = { "Fulmar-Outcome", "not-run" };
+	const std::string why(160, 'r');
+
+	send_text(get("/a") + get("/b") + get("/c") + get("/d") + get("/e"));
+	ASSERT_EQ(5u, waiting.size());
+	answer("/b", std::string(4000, 'b'));
+	answer("/c", std::string(2000, 'c'));
+	/* The account is full now: a larger answer is given up. */
+	answer("/d", std::string(2000, 'd'));
+	fp_http_reply(waiting["/e"], 503, &outcome, 1, why.data(), why.size());
+	waiting.erase("/e");
+	answer("/a");
+	run();
+	EXPECT_NE(std::string::npos, got.find("502 "));
+	EXPECT_EQ(std::string::npos, got.find("dddd"));
+	EXPECT_NE(std::string::npos, got.find("503 "));
+	EXPECT_NE(std::string::npos, got.find("not-run"));
+	EXPECT_NE(std::string::npos, got.find(why));
+}
+
 } // namespace
