--- a/src/state/worker_model.c
+++ b/src/state/worker_model.c
@@ -13,7 +13,7 @@
  * the mix of routes is. Logarithms, since run times vary by factors, and a few
  * very long ones must not decide.
  *
- * Places. A worker that runs k requests, each slower by the effect of k, ends k
+ * Limit. A worker that runs k requests, each slower by the effect of k, ends k
  * / exp(effect) in the same time. Where a smaller number ends clearly more, that
  * number becomes the limit; "clearly" counts the deviation of the samples.
  * Only numbers that were seen count, so a full worker is run with a lower limit
