--- a/src/transport/byte_account.c
+++ b/src/transport/byte_account.c
@@ -299,8 +299,9 @@
 }
 
 /* Evicts holders without progress until the bytes fit. */
-static bool press(struct fp_byte_account *a, const struct fp_byte_holder *h,
-		  size_t bytes, int64_t now_us)
+static bool evict_until_fits(struct fp_byte_account *a,
+			     const struct fp_byte_holder *h, size_t bytes,
+			     int64_t now_us)
 {
 	struct fp_byte_holder *victim;
 
@@ -325,7 +326,7 @@
 	/* Who comes later does not overtake those that wait, but for small
 	 * bodies, which need no part of theirs. */
 	if ((!a->totals.n_waiting || bytes <= SMALL_BYTES || h->held_bytes) &&
-	    press(a, h, bytes, now_us)) {
+	    evict_until_fits(a, h, bytes, now_us)) {
 		set(a, h, FP_BYTES_ARRIVING, bytes);
 		return true;
 	}
@@ -490,7 +491,8 @@
 	struct fp_byte_holder *h;
 	int i;
 
-	while ((h = next_waiting(a)) && press(a, h, h->wanted_bytes, now_us)) {
+	while ((h = next_waiting(a)) &&
+	       evict_until_fits(a, h, h->wanted_bytes, now_us)) {
 		set(a, h, FP_BYTES_ARRIVING, h->wanted_bytes);
 		h->moved_bytes = 0;
 		h->progress_us = now_us;
--- a/test/test_tree_admission.cc
+++ b/test/test_tree_admission.cc
@@ -1,4 +1,4 @@
-/* test_tree_admission.cc - call trees that compete for the room of a deep service */
+/* test_tree_admission.cc - call trees that compete for the capacity of a deep service */
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -19,7 +19,7 @@
 const uint64_t SEED = sim_seed(20261206);
 
 /* Services: a calls b twice in line, b calls c once, c calls d four times in
- * line. Only d is short of room. */
+ * line. Only d is short of capacity. */
 enum service_id { A, B, C, D, N_SERVICES };
 const char *const names[] = { "a", "b", "c", "d" };
 
@@ -81,7 +81,7 @@
 		struct fp_admission *a;
 		uint32_t running = 0;
 	};
-	bool room;
+	bool capacity;
 	sim_random random = { SEED };
 	service services[N_SERVICES];
 	struct fp_early_shed *entries[ENTRIES];
@@ -97,7 +97,7 @@
 	double due = 0;
 	bool reports_lost = false;
 
-	explicit graph(bool use_tree_admission) : room(use_tree_admission)
+	explicit graph(bool use_tree_admission) : capacity(use_tree_admission)
 	{
 		for (int i = 0; i < N_SERVICES; i++) {
 			struct fp_admission_params p = { false,
@@ -114,7 +114,7 @@
 		}
 		for (auto &e : entries) {
 			e = fp_early_shed_init();
-			fp_early_shed_use_tree_admission(e, room);
+			fp_early_shed_use_tree_admission(e, capacity);
 			for (const route &r : routes)
 				learn(e, r, 800000);
 		}
@@ -407,7 +407,7 @@
 {
 	printf("seed %ju %s, %s: within target page %.3f list %.3f send %.3f; "
 	       "begun and dropped %.4f\n",
-	       (uintmax_t)SEED, what, g.room ? "room" : "refusals",
+	       (uintmax_t)SEED, what, g.capacity ? "capacity" : "refusals",
 	       g.good(0, from, to), g.good(1, from, to), g.good(2, from, to),
 	       g.dropped(from, to));
 }
@@ -450,8 +450,8 @@
 {
 	int normal_s[2];
 
-	for (bool room : { false, true }) {
-		graph g(room);
+	for (bool capacity : { false, true }) {
+		graph g(capacity);
 		int s = 0;
 
 		g.rate = rate_at(0.7);
@@ -462,7 +462,7 @@
 		g.run_s(10);
 		while (s < 8 && g.good(-1, 8 + s, 9 + s) < 0.99)
 			s++;
-		normal_s[room] = s;
+		normal_s[capacity] = s;
 		print("burst of two", g, 4, 8);
 		printf("normal after %d s\n", s);
 	}
@@ -491,8 +491,8 @@
 {
 	double served[2];
 
-	for (bool room : { false, true }) {
-		graph g(room);
+	for (bool capacity : { false, true }) {
+		graph g(capacity);
 		struct fp_admission_params p = { false, SLOTS_D / 2, 100, 20000,
 						 40000 };
 
@@ -504,8 +504,8 @@
 		fp_admission_set_params(g.services[D].a, &p, g.now_us);
 		g.run_s(6);
 		print("half lost", g, 4, 7);
-		served[room] = g.good(-1, 4, 7);
-		EXPECT_GE(g.good(-1, 10, 12), room ? 0.99 : 0);
+		served[capacity] = g.good(-1, 4, 7);
+		EXPECT_GE(g.good(-1, 10, 12), capacity ? 0.99 : 0);
 	}
 	EXPECT_GT(served[true], served[false]);
 }
