The platform's limit of bodies is obeyed

The configuration record has a limit of bodies; only the setting of that kind was read, so a record with a lower one had no effect: bodies above it were taken in, kept and sent on. Now the lower of both holds for requests whose heads arrive from then on; what has begun goes on. A body above it is refused at its head, as not run. Records without the limit, or with 0, are as before; one of another type makes the record invalid, as for the other fields.

--- a/src/node/handover.c
+++ b/src/node/handover.c
@@ -44,6 +44,8 @@
 	fp_config_end(t->config);
 	t->config = c;
 	fp_counter_set(t->metrics.config_revision, (int64_t)c->revision);
+	fp_http_server_limit_bodies(
+		t->callers, c->max_body_bytes ? c->max_body_bytes : UINT32_MAX);
 	cold_update_config(t);
 	execution_update_params(t);
 	limits_update_config(t);
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -128,6 +128,8 @@
 	 *  of the path, makes no difference. */
 	bool byte_prefixes;
 	bool keyless; /**< no organisations: no request needs a key */
+	/** Largest body of a caller's request; 0: limited by the settings only. */
+	uint32_t max_body_bytes;
 	/** of the change that created this revision */
 	char change_id[FP_NAME_BYTES];
 };
--- a/src/transport/http_intake.c
+++ b/src/transport/http_intake.c
@@ -303,8 +303,8 @@
 		size *= 2;
 	if (x->announced_bytes && size > x->announced_bytes)
 		return x->announced_bytes;
-	if (size > x->server->cfg.max_body_bytes)
-		size = x->server->cfg.max_body_bytes;
+	if (size > x->max_body_bytes)
+		size = x->max_body_bytes;
 	return size;
 }
 
@@ -321,7 +321,7 @@
 	size_t size;
 	uint8_t *body;
 
-	if (needed > x->server->cfg.max_body_bytes) {
+	if (needed > x->max_body_bytes) {
 		*data_bytes = 0;
 		refuse_unread(x, 413, "too-large");
 		return MHD_YES;
@@ -362,7 +362,8 @@
 	unsigned long long bytes = length ? strtoull(length, NULL, 10) : 0;
 
 	x->announced_bytes = (size_t)bytes;
-	if (bytes > x->server->cfg.max_body_bytes) {
+	x->max_body_bytes = x->server->max_body_bytes;
+	if (bytes > x->max_body_bytes) {
 		refuse_unread(x, 413, "too-large");
 		return;
 	}
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -571,6 +571,7 @@
 		return fp_fail(FP_NOMEM, "out of memory");
 	s->loop = l;
 	s->cfg = *cfg;
+	s->max_body_bytes = cfg->max_body_bytes;
 	s->handler = *h;
 	s->listen_fd = -1;
 	st = open_listener(s);
@@ -598,6 +599,12 @@
 		http_pipeline_disable_keep_alive(s->pipeline);
 }
 
+void fp_http_server_limit_bodies(struct fp_http_server *s, uint32_t bytes)
+{
+	s->max_body_bytes =
+		bytes < s->cfg.max_body_bytes ? bytes : s->cfg.max_body_bytes;
+}
+
 void fp_http_server_quiesce(struct fp_http_server *s)
 {
 	int fd;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -102,6 +102,10 @@
  *  another node. */
 void fp_http_server_disable_keep_alive(struct fp_http_server *s);
 
+/** Sets the largest body of the requests whose heads arrive from now on; at most
+ *  that of the configuration. */
+void fp_http_server_limit_bodies(struct fp_http_server *s, uint32_t bytes);
+
 /** Stops accepting connections; open ones are kept. */
 void fp_http_server_quiesce(struct fp_http_server *s);
 
--- a/src/transport/http_server_private.h
+++ b/src/transport/http_server_private.h
@@ -44,6 +44,7 @@
 	uint8_t *body; /* malloc'd */
 	size_t body_bytes; /* used */
 	size_t body_size; /* allocated */
+	size_t max_body_bytes; /* limit when its head arrived */
 	size_t announced_bytes; /* Content-Length; 0: none, or in chunks */
 	size_t arrived_bytes; /* of the body, stored or not */
 	size_t discarded_bytes; /* of them, while LINGERING */
@@ -64,6 +65,7 @@
 	struct http_pipeline *pipeline; /* NULL: the library accepts */
 	struct fp_http_handler handler;
 	struct fp_http_server_config cfg;
+	uint32_t max_body_bytes; /* in force, at most that of cfg */
 	struct fp_watch *watch;
 	struct fp_timer timeout; /* of the library */
 	struct fp_timer sweep;
--- a/test/test_http_server.cc
+++ b/test/test_http_server.cc
@@ -207,6 +207,37 @@
 	EXPECT_TRUE(uris.empty());
 }
 
+TEST_F(HttpServer, ALowerLimitOfBodiesBindsRequestsThatBeginLater)
+{
+	bool closed;
+	int fd = open_connection();
+
+	send_text(fd, "POST /a HTTP/1.1\r\nHost: h\r\n"
+		      "Content-Length: 400\r\n\r\n" +
+			      std::string(300, 'a'));
+	run_loop(20);
+	fp_http_server_limit_bodies(server, 200);
+	EXPECT_EQ("HTTP/1.1 413", exchange("POST /b HTTP/1.1\r\nHost: h\r\n"
+					   "Content-Length: 201\r\n\r\nabc",
+					   &closed)
+					  .substr(0, 12));
+	EXPECT_EQ("HTTP/1.1 200", exchange("POST /c HTTP/1.1\r\nHost: h\r\n"
+					   "Content-Length: 200\r\n\r\n" +
+						   std::string(200, 'c'),
+					   &closed)
+					  .substr(0, 12));
+	send_text(fd, std::string(100, 'a'));
+	run_loop(50);
+	EXPECT_EQ("HTTP/1.1 200", read_now(fd).substr(0, 12));
+	close(fd);
+	fp_http_server_limit_bodies(server, UINT32_MAX);
+	EXPECT_EQ("HTTP/1.1 413", exchange("POST /d HTTP/1.1\r\nHost: h\r\n"
+					   "Content-Length: 1001\r\n\r\nabc",
+					   &closed)
+					  .substr(0, 12));
+	EXPECT_EQ(2u, uris.size());
+}
+
 /* The client sends on; it can still read why it was refused. */
 TEST_F(HttpServer, AClientThatSendsOnReadsTheRefusal)
 {
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -307,6 +307,30 @@
 
 /* Homes name regions. All nodes of a fleet are in one region, so a request
  * cannot reach a worker in another: the field changes nothing. */
+TEST(Record, TheLimitOfBodiesIsRead)
+{
+	auto limit_in = [](const std::string &limits) {
+		std::string text =
+			record_with("\"limits\":{}", "\"limits\":" + limits);
+		struct fp_config *c = nullptr;
+		enum fp_status st =
+			platform_config(text.data(), text.size(), &c);
+		int64_t bytes = st == FP_OK ? (int64_t)c->max_body_bytes : -1;
+
+		fp_config_end(c);
+		return bytes;
+	};
+
+	EXPECT_EQ(0, limit_in("{}"));
+	EXPECT_EQ(0, limit_in("{\"maxBodyBytes\":null}"));
+	EXPECT_EQ(4194304, limit_in("{\"maxHeaderBytes\":16384,"
+				    "\"maxBodyBytes\":4194304,"
+				    "\"idleTimeout\":\"15000ms\"}"));
+	EXPECT_EQ(-1, limit_in("{\"maxBodyBytes\":\"4194304\"}"));
+	EXPECT_EQ(-1, limit_in("{\"maxBodyBytes\":-1}"));
+	EXPECT_EQ(-1, limit_in("[]"));
+}
+
 TEST(Record, HomesHaveNoEffect)
 {
 	std::string text =
