Nested calls refused for load go only where room is known

Cause: a nested call that a worker's admission refused was sent to up to three other workers, also when all of them were full.

After a refusal for load a nested call is sent again to a worker with a free place by news of the last second, or to one that took at least as many calls of its rank as it refused; drawn by free places. A worker without fresh news counts as one with room while no call of this node is on its way to it.

--- a/src/state/balancer.c
+++ b/src/state/balancer.c
@@ -301,6 +301,7 @@
 		w->limit = load->limit;
 		w->queued = load->queued;
 		w->running = load->running;
+		w->refused_ranks = balancer_refused_ranks(load);
 		w->load_us = now_us;
 	}
 	if (result == FP_BALANCER_CANCELLED)
--- a/src/state/balancer.h
+++ b/src/state/balancer.h
@@ -13,6 +13,8 @@
 #endif
 
 struct fp_balancer;
+struct fp_admission_load;
+struct fp_worker_speed;
 
 /** A worker as membership reports it; replaces an earlier entry of that id. */
 struct fp_balancer_worker {
@@ -67,6 +69,21 @@
 				const uint64_t *avoid, uint32_t n_avoid,
 				uint64_t draw, int64_t now_us, uint64_t *id);
 
+/**
+ * Picks a worker that is known to have room for a call that another worker
+ * refused for load.
+ *
+ * @param rank   shed rank of the call
+ * @param avoid  ids that must not be picked (already tried)
+ * @param draw   uniform random number
+ * @return FP_OK with *id set, FP_NOT_FOUND when no worker is known to have room
+ */
+enum fp_status fp_balancer_pick_with_room(struct fp_balancer *b,
+					  const char *service, uint8_t rank,
+					  const uint64_t *avoid,
+					  uint32_t n_avoid, uint64_t draw,
+					  int64_t now_us, uint64_t *id);
+
 /** Records that a call was sent to a worker. */
 void fp_balancer_call_sent(struct fp_balancer *b, uint64_t id);
 
@@ -78,9 +95,6 @@
 	FP_BALANCER_CANCELLED, /**< cancelled by the caller; not counted */
 };
 
-struct fp_admission_load;
-struct fp_worker_speed;
-
 /** Records the result of a sent call and the load that the worker advertised
  * with it (NULL: none). */
 void fp_balancer_call_ended(struct fp_balancer *b, uint64_t id,
--- a/src/state/balancer_private.h
+++ b/src/state/balancer_private.h
@@ -28,6 +28,8 @@
 	uint32_t limit; /* advertised */
 	uint32_t queued; /* advertised */
 	uint32_t running; /* advertised: of all callers */
+	/* advertised: bit of each shed rank of which it refuses the most part */
+	uint16_t refused_ranks;
 	int64_t load_us; /* time of the advertised values */
 	double slowdown; /* logarithm of its run time over the service's mean */
 	int64_t slowdown_us; /* time of the news; 0: none */
@@ -61,6 +63,8 @@
 void balancer_find_service(const struct fp_balancer *b, const char *service,
 			   uint32_t *first, uint32_t *end);
 bool balancer_is_ejected(const struct worker *w);
+/** Ranks of which a worker with this load refuses more calls than it takes. */
+uint16_t balancer_refused_ranks(const struct fp_admission_load *load);
 /** Whether a worker of the subset other than exclude is not ejected and has a
  * clearly lower failure rate than failed. */
 bool balancer_has_better_worker(const struct fp_balancer *b, uint32_t first,
--- a/test/uneven_sim.h
+++ b/test/uneven_sim.h
@@ -41,8 +41,13 @@
 	int64_t deadline_us;
 	double left_us; /* at speed 1 */
 	struct fp_worker_run run;
+	double work_us;
+	std::vector<uint64_t> tried;
 };
 
+/* What an entry does with a call that was refused for load. */
+enum uneven_retry { RETRY_NEVER, RETRY_ALWAYS, RETRY_WITH_ROOM };
+
 struct uneven_server {
 	double speed = 1;
 	double knee = 1; /* share of the slots */
@@ -82,6 +87,10 @@
 	int64_t run_us = 30000;
 	int64_t deadline_us = 400000;
 	int64_t next_us = now_us;
+	uneven_retry retry = RETRY_NEVER;
+	size_t max_tried = 4;
+	int n_retries = 0;
+	int n_useless = 0; /* retries that were refused or ended late */
 	bool speeds_lost = false; /* answers tell nothing of the speed */
 	struct sample {
 		int64_t sent_us;
@@ -209,8 +218,40 @@
 		if (speeds_lost)
 			n.speed = {};
 		late.insert({ now_us + NEWS_US, n });
-		samples.push_back(
-			{ c.sent_us, ok ? now_us + NEWS_US - c.sent_us : -1 });
+		n_useless += !ok && c.tried.size() > 1;
+		if (ok || retry == RETRY_NEVER)
+			samples.push_back(
+				{ c.sent_us,
+				  ok ? now_us + NEWS_US - c.sent_us : -1 });
+	}
+	bool choose_again(uneven_call *c)
+	{
+		struct fp_balancer *b = entries[c->entry];
+		const uint64_t *tried = c->tried.data();
+		uint32_t n = (uint32_t)c->tried.size();
+
+		if (n == max_tried || now_us >= c->deadline_us)
+			return false;
+		if (retry == RETRY_WITH_ROOM)
+			return fp_balancer_pick_with_room(
+				       b, "s", FP_CLASS_NORMAL, tried, n,
+				       random.next(), now_us,
+				       &c->member) == FP_OK;
+		return fp_balancer_pick(b, "s", tried, n, random.next(), now_us,
+					&c->member) == FP_OK;
+	}
+	void send_again(uneven_call c)
+	{
+		if (!choose_again(&c)) {
+			samples.push_back({ c.sent_us, -1 });
+			return;
+		}
+		n_retries++;
+		c.left_us = c.work_us;
+		for (size_t i = 0; i < servers.size(); i++)
+			if (servers[i]->member == c.member)
+				c.worker = i;
+		offer(c);
 	}
 	void deliver()
 	{
@@ -232,6 +273,8 @@
 				now_us - n.c.sent_us, &n.load, now_us);
 			fp_balancer_note_speed(b, n.c.member, n.c.route,
 					       &n.speed, now_us);
+			if (!n.ok && retry != RETRY_NEVER)
+				send_again(n.c);
 		}
 	}
 	size_t choose(size_t entry, uint64_t *member)
@@ -260,12 +303,10 @@
 	void send()
 	{
 		uneven_call c = {};
-		struct fp_admission_request q = {};
 		double normal = 0;
 
 		for (int i = 0; i < 12; i++)
 			normal += random.unit();
-		c.id = ++last_id;
 		c.entry = random.next() % entries.size();
 		c.route = "short";
 		/* Lognormal with a mean of run_us, spread 0.6. */
@@ -276,7 +317,16 @@
 		}
 		c.sent_us = now_us;
 		c.deadline_us = now_us + deadline_us;
+		c.work_us = c.left_us;
 		c.worker = choose(c.entry, &c.member);
+		offer(c);
+	}
+	void offer(uneven_call c)
+	{
+		struct fp_admission_request q = {};
+
+		c.id = ++last_id;
+		c.tried.push_back(c.member);
 		in_flight[c.entry][c.worker]++;
 		fp_balancer_call_sent(entries[c.entry], c.member);
 		q.id = c.id;
