--- a/src/state/tree_admission.c
+++ b/src/state/tree_admission.c
@@ -17,6 +17,13 @@
  * holds what came in excess over some time. It therefore counts by QUEUE_PART
  * only; counted in full, a short burst emptied the service a second later.
  *
+ * The trees that are admitted now arrive at the service later. While the demand
+ * grows they meet a higher one, so a growing demand counts as what it becomes
+ * within LEAD of a tree's duration, by the trend of its logarithm. A falling one
+ * counts as it is: the trees that are there were admitted before it fell. A
+ * demand below the target needs a growth above GROWTH_MIN, or chance would
+ * refuse trees while there is capacity.
+ *
  * The demand is divided among the shed ranks like the calls of the roots
  * offered at this entry; a root with k calls counts k times. The ranks are
  * served in order, but each rank keeps RANK_FLOOR of the fraction that all
@@ -43,6 +50,10 @@
 #define DURATION_DEFAULT_S 0.5 /* of a tree, until one has ended */
 #define DURATION_WEIGHT	   32 /* smoothing of the duration, in trees */
 #define DURATION_MAX_S	   4.0 /* a longer one counts as this */
+#define TREND_S		   0.5 /* smoothing of the demand for its trend */
+#define LEAD		   0.8 /* how far it is led, in durations of a tree */
+#define LEAD_MAX	   0.5 /* largest lead of its logarithm */
+#define GROWTH_MIN	   0.2 /* ignored below the target, logarithm a second */
 #define RELEASE_S	   1.0 /* time to admit everything without reports */
 #define ADMIT_MIN	   0.02 /* always admitted, to see the demand */
 #define USED_MIN	   0.01 /* lower bound of the occupancy */
@@ -102,6 +113,21 @@
 	return fmax(used, USED_MIN) * sum(r->offered) / present;
 }
 
+/* Demand that the trees admitted now will meet. */
+static double lead(struct fp_tree_admission *r, double all, double tree_s,
+		   double step_s)
+{
+	double growth;
+
+	if (r->slow_demand == 0)
+		r->slow_demand = all;
+	r->slow_demand *= pow(all / r->slow_demand, 1 - exp(-step_s / TREND_S));
+	growth = log(all / r->slow_demand) / TREND_S;
+	if (all < USED_TARGET)
+		growth -= GROWTH_MIN;
+	return all * exp(fmin(LEAD_MAX, fmax(0, growth * LEAD * tree_s)));
+}
+
 /* Gives the capacity to the ranks in order and moves the fractions there; all:
  * demand of all ranks. */
 static void divide(struct fp_tree_admission *r, double all, double step_s)
@@ -129,6 +155,7 @@
 {
 	int i;
 
+	r->slow_demand = 0;
 	for (i = 0; i < FP_SHED_RANK_COUNT; i++)
 		r->admitted[i] = fmin(1, r->admitted[i] + step_s / RELEASE_S);
 }
@@ -148,7 +175,7 @@
 	if (used < 0 || !fp_tree_admission_applies(r))
 		release(r, step_s);
 	else
-		divide(r, demand(r, used), step_s);
+		divide(r, lead(r, demand(r, used), tree_s, step_s), step_s);
 	for (i = 0; i < FP_SHED_RANK_COUNT; i++)
 		r->offered[i] *= kept;
 	r->roots *= kept;
--- a/src/state/tree_admission.h
+++ b/src/state/tree_admission.h
@@ -20,6 +20,7 @@
 	double begun[FP_SHED_RANK_COUNT]; /* first stage towards present */
 	/* admitted fraction of the trees that are at the service now */
 	double present[FP_SHED_RANK_COUNT];
+	double slow_demand; /* demand, smoothed with TREND_S; 0: unknown */
 	double tree_s; /* smoothed duration of a tree; 0: unknown */
 };
 
--- a/test/test_tree_admission.cc
+++ b/test/test_tree_admission.cc
@@ -540,6 +540,16 @@
 			fp_tree_admission_offer(&r, rank, calls);
 		fp_tree_admission_update(&r, used, 0.1);
 	}
+	/* The same where the offered trees would hold this much. */
+	void demanded(double all)
+	{
+		step(all *
+			     (fp_tree_admission_admitted(&r, 0) +
+			      fp_tree_admission_admitted(&r, 1) +
+			      fp_tree_admission_admitted(&r, 2)) /
+			     3,
+		     4);
+	}
 	void second(double used, double calls)
 	{
 		for (int i = 0; i < 10; i++)
@@ -558,17 +568,32 @@
 TEST_F(TreeAdmission, ServesRanksInOrderAndStarvesNone)
 {
 	for (int i = 0; i < 400; i++)
-		step(1.7 *
-			     (fp_tree_admission_admitted(&r, 0) +
-			      fp_tree_admission_admitted(&r, 1) +
-			      fp_tree_admission_admitted(&r, 2)) /
-			     3,
-		     4);
+		demanded(1.7);
 	EXPECT_NEAR(1, fp_tree_admission_admitted(&r, 0), 0.01);
 	EXPECT_NEAR(0.25, fp_tree_admission_admitted(&r, 1), 0.02);
 	EXPECT_NEAR(0.25, fp_tree_admission_admitted(&r, 2), 0.02);
 }
 
+/* The demand is 0.8 now, below the target, and was 0.4 a second ago; a tree lasts 1 s. */
+TEST_F(TreeAdmission, GrowthCountsAsWhatItBecomes)
+{
+	for (int i = 0; i < 40; i++)
+		demanded(0.8);
+	EXPECT_EQ(1, fp_tree_admission_admitted(&r, 2));
+	fp_tree_admission_init(&r);
+	fp_tree_admission_add_duration(&r, 1);
+	for (int i = 0; i < 40; i++)
+		demanded(0.4);
+	for (int i = 1; i <= 10; i++)
+		demanded(0.4 + 0.04 * i);
+	EXPECT_LT(fp_tree_admission_admitted(&r, 2), 0.95);
+	/* a fall is not led */
+	fp_tree_admission_init(&r);
+	for (int i = 0; i < 40; i++)
+		demanded(0.84 - 0.01 * i);
+	EXPECT_EQ(1, fp_tree_admission_admitted(&r, 2));
+}
+
 TEST_F(TreeAdmission, DoesNotApplyToTreesWithOneCall)
 {
 	second(3, 1);
