--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -39,6 +39,7 @@
 #include <unistd.h>
 
 #include "base/log.h"
+#include "transport/buffer.h"
 #include "transport/peer_crypto.h"
 
 #define HEARTBEAT_US	    (400 * FP_US_PER_MS)
@@ -70,14 +71,6 @@
 	CLOSED, /* freed at the next tick */
 };
 
-/* Bytes to be parsed or sent. */
-struct buffer {
-	uint8_t *data;
-	size_t start; /* first byte not consumed */
-	size_t end; /* one past the last byte */
-	size_t size; /* allocated */
-};
-
 struct fp_peer_link {
 	struct fp_peer_net *net;
 	enum link_state state;
@@ -90,9 +83,9 @@
 	uint8_t secret[FP_PEER_SECRET_BYTES]; /* the one that verified */
 	crypto_secretstream_xchacha20poly1305_state seal; /* sent frames */
 	crypto_secretstream_xchacha20poly1305_state open; /* received frames */
-	struct buffer in;
-	struct buffer out; /* sealed frames, or handshake */
-	struct buffer queued; /* plain frames with lengths, until UP */
+	struct fp_buffer in;
+	struct fp_buffer out; /* sealed frames, or handshake */
+	struct fp_buffer queued; /* plain frames with lengths, until UP */
 	int64_t opened_us; /* time of creation */
 	int64_t received_us; /* time of the last received bytes */
 	int64_t sent_us; /* time of the last sent frame */
@@ -126,62 +119,11 @@
 
 /* --- buffers --- */
 
-static size_t buffer_used(const struct buffer *b)
-{
-	return b->end - b->start;
-}
-
-static uint8_t *buffer_reserve(struct buffer *b, size_t n)
-{
-	size_t used = buffer_used(b);
-	size_t size = b->size ? b->size : 1024;
-	uint8_t *data;
-
-	if (b->start && b->end + n > b->size) {
-		memmove(b->data, b->data + b->start, used);
-		b->start = 0;
-		b->end = used;
-	}
-	if (b->end + n > b->size) {
-		while (size < used + n)
-			size *= 2;
-		data = realloc(b->data, size);
-		if (!data)
-			abort();
-		b->data = data;
-		b->size = size;
-	}
-	return b->data + b->end;
-}
-
-static void buffer_put(struct buffer *b, const void *data, size_t n)
-{
-	if (!n)
-		return;
-	memcpy(buffer_reserve(b, n), data, n);
-	b->end += n;
-}
-
-static void buffer_free(struct buffer *b)
-{
-	free(b->data);
-	memset(b, 0, sizeof(*b));
-}
-
-static void buffer_skip(struct buffer *b, size_t n)
-{
-	b->start += n;
-	if (b->start == b->end)
-		b->start = b->end = 0;
-	if (!b->end && b->size > 2 * (size_t)READ_BYTES)
-		buffer_free(b);
-}
-
-static void put_length(struct buffer *b, size_t n)
+static void put_length(struct fp_buffer *b, size_t n)
 {
 	uint32_t be = htonl((uint32_t)n);
 
-	buffer_put(b, &be, sizeof(be));
+	fp_buffer_put(b, &be, sizeof(be));
 }
 
 static uint32_t get_length(const uint8_t *p)
@@ -218,9 +160,9 @@
 
 static void link_free(struct fp_peer_link *l)
 {
-	buffer_free(&l->in);
-	buffer_free(&l->out);
-	buffer_free(&l->queued);
+	fp_buffer_free(&l->in);
+	fp_buffer_free(&l->out);
+	fp_buffer_free(&l->queued);
 	sodium_memzero(l, sizeof(*l));
 	free(l);
 }
@@ -237,7 +179,7 @@
 {
 	uint32_t events = FP_READABLE;
 
-	if (buffer_used(&l->out) || l->state == CONNECTING)
+	if (fp_buffer_used(&l->out) || l->state == CONNECTING)
 		events |= FP_WRITABLE;
 	fp_watch_set(l->watch, events);
 }
@@ -246,9 +188,9 @@
 {
 	ssize_t n;
 
-	while (buffer_used(&l->out)) {
+	while (fp_buffer_used(&l->out)) {
 		n = send(l->fd, l->out.data + l->out.start,
-			 buffer_used(&l->out), MSG_NOSIGNAL);
+			 fp_buffer_used(&l->out), MSG_NOSIGNAL);
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && errno == EAGAIN)
@@ -256,11 +198,11 @@
 		if (n < 0) {
 			/* fp_peer_send() must not call the handler: the loop
 			 * detects the broken socket in its next iteration. */
-			buffer_skip(&l->out, buffer_used(&l->out));
+			fp_buffer_skip(&l->out, fp_buffer_used(&l->out));
 			break;
 		}
 		fp_counter_add(l->net->bytes_out, n);
-		buffer_skip(&l->out, (size_t)n);
+		fp_buffer_skip(&l->out, (size_t)n);
 	}
 	watch_for_write(l);
 }
@@ -268,7 +210,7 @@
 static void send_plain(struct fp_peer_link *l, const void *data, size_t bytes)
 {
 	put_length(&l->out, bytes);
-	buffer_put(&l->out, data, bytes);
+	fp_buffer_put(&l->out, data, bytes);
 	flush(l);
 }
 
@@ -279,7 +221,7 @@
 	uint8_t *to;
 
 	put_length(&l->out, bytes + SEAL_BYTES);
-	to = buffer_reserve(&l->out, bytes + SEAL_BYTES);
+	to = fp_buffer_reserve(&l->out, bytes + SEAL_BYTES);
 	crypto_secretstream_xchacha20poly1305_push(&l->seal, to, &sealed, data,
 						   bytes, NULL, 0, tag);
 	l->out.end += (size_t)sealed;
@@ -301,13 +243,13 @@
 	if (bytes > fp_peer_max_frame_bytes(l->net))
 		return fp_fail(FP_INVALID, "frame of %zu bytes is too large",
 			       bytes);
-	if (buffer_used(&l->out) + buffer_used(&l->queued) + bytes >
+	if (fp_buffer_used(&l->out) + fp_buffer_used(&l->queued) + bytes >
 	    MAX_QUEUED_BYTES)
 		return fp_fail(FP_FULL, "the send queue of the link is full");
 	l->used_us = fp_loop_now_us(l->net->loop);
 	if (l->state != UP) {
 		put_length(&l->queued, bytes);
-		buffer_put(&l->queued, data, bytes);
+		fp_buffer_put(&l->queued, data, bytes);
 		return FP_OK;
 	}
 	send_sealed(l, data, bytes, TAG_DATA);
@@ -319,13 +261,13 @@
 {
 	size_t bytes;
 
-	while (l->state == UP && buffer_used(&l->queued)) {
+	while (l->state == UP && fp_buffer_used(&l->queued)) {
 		bytes = get_length(l->queued.data + l->queued.start);
 		send_sealed(l, l->queued.data + l->queued.start + LENGTH_BYTES,
 			    bytes, TAG_DATA);
-		buffer_skip(&l->queued, LENGTH_BYTES + bytes);
+		fp_buffer_skip(&l->queued, LENGTH_BYTES + bytes);
 	}
-	buffer_free(&l->queued);
+	fp_buffer_free(&l->queued);
 	if (l->state == UP)
 		flush(l);
 }
@@ -532,27 +474,27 @@
 {
 	uint32_t bytes;
 
-	while (l->state != CLOSED && buffer_used(&l->in) >= LENGTH_BYTES) {
+	while (l->state != CLOSED && fp_buffer_used(&l->in) >= LENGTH_BYTES) {
 		bytes = get_length(l->in.data + l->in.start);
 		if (bytes > frame_limit(l)) {
 			fp_peer_drop(l, "oversized frame");
 			return;
 		}
-		if (buffer_used(&l->in) < LENGTH_BYTES + bytes)
+		if (fp_buffer_used(&l->in) < LENGTH_BYTES + bytes)
 			return;
 		if (!on_frame(l, l->in.data + l->in.start + LENGTH_BYTES,
 			      bytes)) {
 			fp_peer_drop(l, "bad frame");
 			return;
 		}
-		buffer_skip(&l->in, LENGTH_BYTES + bytes);
+		fp_buffer_skip(&l->in, LENGTH_BYTES + bytes);
 	}
 }
 
 static void read_available(struct fp_peer_link *l)
 {
-	ssize_t n =
-		recv(l->fd, buffer_reserve(&l->in, READ_BYTES), READ_BYTES, 0);
+	ssize_t n = recv(l->fd, fp_buffer_reserve(&l->in, READ_BYTES),
+			 READ_BYTES, 0);
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
@@ -721,7 +663,7 @@
 		link_close(l, "silent");
 		return;
 	}
-	if (now_us - l->used_us > IDLE_US && !buffer_used(&l->out)) {
+	if (now_us - l->used_us > IDLE_US && !fp_buffer_used(&l->out)) {
 		link_close(l, "idle");
 		return;
 	}
@@ -886,7 +828,7 @@
 	const struct fp_peer_link *l;
 
 	for (l = n->links; l; l = l->next)
-		if (l->state == UP && buffer_used(&l->out))
+		if (l->state == UP && fp_buffer_used(&l->out))
 			return true;
 	return false;
 }
