Bodies above 256 KiB pass between nodes in parts, with credit

A call was one frame of a link, and a link queues at most 8 MiB, so a request of 12 MiB whose worker is at another node was answered 503 each time, and a body of a few MiB held up every other call on its link until it had passed.

The head of such a call goes first, with the length of its body. The exit node draws all of it from its account of bytes, or refuses the call as not run, and then grants credit: at most 256 KiB of a body are on their way. Parts have 64 KiB; bodies on one link take turns, and parts wait while more than 128 KiB are queued on it. Until the last part was given to the link the call cannot run: a link that is lost, a deadline or a node without progress for 10 s are then reported as not run, and the call may go elsewhere, also a non-idempotent one. Smaller bodies and answers go as before.

--- a/fuzz/fuzz_messages.c
+++ b/fuzz/fuzz_messages.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "platform/platform.h"
+#include "protocol/msg_body.h"
 #include "protocol/msg_call.h"
 #include "protocol/msg_config.h"
 #include "protocol/msg_shared.h"
@@ -38,6 +39,23 @@
 	fp_msg_cancel_decode(data, size, &corr);
 }
 
+static void try_body(const uint8_t *data, size_t size)
+{
+	struct fp_msg_body_call call;
+	struct fp_msg_body_part part;
+	struct fp_msg_body_credit credit;
+
+	if (fp_msg_body_call_decode(data, size, &call) == FP_OK) {
+		if (!call.body_bytes || call.call_bytes > size)
+			abort();
+		try_call(call.call, call.call_bytes);
+	}
+	if (fp_msg_body_part_decode(data, size, &part) == FP_OK &&
+	    part.bytes > size)
+		abort();
+	fp_msg_body_credit_decode(data, size, &credit);
+}
+
 static void try_shared(const uint8_t *data, size_t size)
 {
 	struct fp_msg_shared m;
@@ -84,6 +102,7 @@
 	fp_msg_type(data, size);
 	try_load(data, size);
 	try_call(data, size);
+	try_body(data, size);
 	fp_msg_config_get_decode(data, size);
 	fp_msg_config_record_decode(data, size, &record);
 	try_shared(data, size);
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -145,6 +145,7 @@
 	fp_timer_cancel(t->loop, &c->attempt_timer);
 	if (!c->corr)
 		return;
+	parts_stop(t, c->link, c->corr);
 	apr_hash_set(t->calls, &c->corr, sizeof(c->corr), NULL);
 	c->corr = 0;
 	c->link = NULL;
@@ -269,9 +270,9 @@
 static void on_deadline(void *ctx)
 {
 	struct call *c = ctx;
-	enum fp_outcome outcome =
-		c->corr ? FP_OUTCOME_UNKNOWN : FP_OUTCOME_NOT_RUN;
-
+	enum fp_outcome outcome = c->corr && !parts_unsent(c->t, c->corr) ?
+					  FP_OUTCOME_UNKNOWN :
+					  FP_OUTCOME_NOT_RUN;
 	int64_t now_us = fp_loop_now_us(c->t->loop);
 
 	if (c->corr) {
@@ -356,6 +357,28 @@
 	call_send(c);
 }
 
+/* Handles the loss of the exit node of an attempt; sent: the link to it had been
+ * established. Without its whole body a call does not run. */
+static void attempt_lost(struct call *c, bool sent)
+{
+	bool ran = sent && !parts_unsent(c->t, c->corr);
+
+	attempt_ended(c, ran ? FP_OUTCOME_UNKNOWN : FP_OUTCOME_NOT_RUN,
+		      ran ? FP_REASON_CUT : FP_REASON_NO_WORKER, ran);
+}
+
+void call_body_stalled(struct fp_traffic *t, uint64_t corr)
+{
+	struct call *c = apr_hash_get(t->calls, &corr, sizeof(corr));
+	int64_t now_us = fp_loop_now_us(t->loop);
+
+	if (!c)
+		return;
+	fp_balancer_call_ended(t->balancer, c->worker, FP_BALANCER_FAILED,
+			       now_us - c->sent_us, NULL, now_us);
+	attempt_lost(c, true);
+}
+
 static void on_attempt_timeout(void *ctx)
 {
 	struct call *c = ctx;
@@ -366,7 +389,7 @@
 	fp_balancer_call_ended(c->t->balancer, c->worker, FP_BALANCER_FAILED,
 			       now_us - c->sent_us, NULL, now_us);
 	send_cancel(c);
-	attempt_ended(c, FP_OUTCOME_UNKNOWN, FP_REASON_CUT, true);
+	attempt_lost(c, true);
 }
 
 /*
@@ -393,6 +416,10 @@
 	msgpack_sbuffer buf;
 	size_t bytes;
 
+	if (m->id != t->node_id && parts_wanted(&c->msg)) {
+		c->link = fp_peer_link_to(t->peers, m->peer_addr);
+		return c->link ? parts_send(t, c->link, &c->msg) : st;
+	}
 	msgpack_sbuffer_init(&buf);
 	fp_msg_call_encode(&c->msg, &buf);
 	if (m->id == t->node_id) {
@@ -637,9 +664,7 @@
 		fp_balancer_call_ended(t->balancer, c->worker,
 				       FP_BALANCER_FAILED, now_us - c->sent_us,
 				       NULL, now_us);
-		attempt_ended(
-			c, was_up ? FP_OUTCOME_UNKNOWN : FP_OUTCOME_NOT_RUN,
-			was_up ? FP_REASON_CUT : FP_REASON_NO_WORKER, was_up);
+		attempt_lost(c, was_up);
 	}
 }
 
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -69,12 +69,14 @@
 	apr_hash_set(t->executions, e->call_id, sizeof(e->call_id), NULL);
 	apr_hash_set(t->by_admission_id, &e->admission_id,
 		     sizeof(e->admission_id), NULL);
-	if (e->by_request.id) {
+	if (e->by_request.owner) {
 		fp_id_index_remove(t->requests, &e->by_request);
 		same_id = execution_find_request(t, e->by_request.id);
 	}
 	fp_msg_memory_end(&e->memory);
 	fp_byte_end(t->bytes, &e->hold);
+	parts_forget(e);
+	free(e->body);
 	free(e->data);
 	free(e);
 	t->n_executions--;
@@ -529,10 +531,6 @@
 	if (t->dialect->request_id)
 		e->by_request.id = fp_msg_header_find(&e->msg.content,
 						      t->dialect->request_id);
-	if (e->by_request.id) {
-		e->by_request.owner = e;
-		fp_id_index_add(t->requests, &e->by_request);
-	}
 	apr_hash_set(t->executions, e->call_id, sizeof(e->call_id), e);
 	apr_hash_set(t->by_admission_id, &e->admission_id,
 		     sizeof(e->admission_id), e);
@@ -540,8 +538,41 @@
 	return e;
 }
 
+/* From now on a nested call with the same request id may be its own. */
+static void add_request(struct execution *e)
+{
+	if (!e->by_request.id)
+		return;
+	e->by_request.owner = e;
+	fp_id_index_add(e->t->requests, &e->by_request);
+}
+
+/* Waits for the body of an execution. */
+static void await_body(struct execution *e, size_t body_bytes)
+{
+	struct fp_traffic *t = e->t;
+	struct fp_peer_link *link = e->link;
+	enum fp_status st;
+
+	e->body = malloc(body_bytes);
+	if (!e->body) {
+		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_OVERLOADED);
+		return;
+	}
+	if (e->msg.content.body_bytes)
+		st = fp_fail(FP_INVALID, "the call has a body of its own");
+	else
+		st = parts_expect(e, body_bytes);
+	if (st == FP_OK)
+		return;
+	fp_counter_add(t->metrics.bad_messages, 1);
+	execution_free(e);
+	fp_peer_drop(link, fp_last_message());
+}
+
+/* body_bytes: of a body that follows in parts, or 0. */
 static void accept_call(struct fp_traffic *t, struct fp_peer_link *link,
-			uint8_t *data, size_t bytes)
+			uint8_t *data, size_t bytes, uint64_t body_bytes)
 {
 	struct execution *e = execution_new(t, link, data, bytes);
 
@@ -555,12 +586,21 @@
 		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_STOPPING);
 		return;
 	}
+	if (body_bytes > t->settings->max_body_bytes) {
+		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_TOO_LARGE);
+		return;
+	}
 	/* A call from this node itself is in the account of its caller. */
-	if (link &&
-	    !fp_byte_keep(t->bytes, &e->hold, bytes, fp_loop_now_us(t->loop))) {
+	if (link && !fp_byte_keep(t->bytes, &e->hold, bytes + body_bytes,
+				  fp_loop_now_us(t->loop))) {
 		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_OVERLOADED);
 		return;
 	}
+	if (body_bytes) {
+		await_body(e, body_bytes);
+		return;
+	}
+	add_request(e);
 	offer(e);
 }
 
@@ -572,12 +612,39 @@
 	if (!copy)
 		abort();
 	memcpy(copy, data, bytes);
-	accept_call(t, link, copy, bytes);
+	accept_call(t, link, copy, bytes, 0);
+}
+
+void execution_accept_parts(struct fp_traffic *t, struct fp_peer_link *link,
+			    const uint8_t *data, size_t bytes,
+			    uint64_t body_bytes)
+{
+	uint8_t *copy = malloc(bytes);
+
+	if (!copy)
+		abort();
+	memcpy(copy, data, bytes);
+	accept_call(t, link, copy, bytes, body_bytes);
+}
+
+void execution_body_whole(struct execution *e)
+{
+	e->msg.content.body = e->body;
+	add_request(e);
+	if (may_run(e))
+		offer(e);
+	else
+		refuse(e, FP_OUTCOME_NOT_RUN, FP_REASON_STOPPING);
+}
+
+void execution_body_failed(struct execution *e, enum fp_reason why)
+{
+	refuse(e, FP_OUTCOME_NOT_RUN, why);
 }
 
 void execution_accept_own(struct fp_traffic *t, uint8_t *data, size_t bytes)
 {
-	accept_call(t, NULL, data, bytes);
+	accept_call(t, NULL, data, bytes, 0);
 }
 
 /* Ends an execution whose reply is no longer needed. */
@@ -654,7 +721,7 @@
 {
 	struct execution *e = find_by_corr(t, link, corr);
 
-	if (e && !e->msg.non_idempotent)
+	if (e && (e->arriving || !e->msg.non_idempotent))
 		abandon(e);
 }
 
@@ -672,7 +739,7 @@
 		if (e->link != link)
 			continue;
 		e->link_lost = true;
-		if (!e->msg.non_idempotent)
+		if (e->arriving || !e->msg.non_idempotent)
 			found = e;
 	}
 	return found;
--- a/src/node/execution_private.h
+++ b/src/node/execution_private.h
@@ -26,9 +26,12 @@
 	struct fp_msg_memory memory; /* of the decoded message */
 	struct fp_attempt_budget attempt_budget;
 	uint64_t admission_id; /* its id at admission */
-	/* by the caller's id of the request; its id is NULL if there is none */
+	/* by the caller's id of the request; its id is NULL if there is none, its
+	 * owner NULL until the body is whole */
 	struct fp_id_entry by_request;
-	struct fp_byte_holder hold; /* of data, if it came over a link */
+	struct fp_byte_holder hold; /* of data and body, if over a link */
+	uint8_t *body; /* of a call whose body comes in parts, else NULL */
+	bool arriving; /* the body is not whole */
 	bool running; /* admission started it; it holds a slot */
 	int64_t deadline_us;
 	int64_t sent_us; /* when it was sent to the backend server */
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -14,6 +14,7 @@
 #include "base/log.h"
 #include "node/owner.h"
 #include "node/traffic_private.h"
+#include "protocol/msg_body.h"
 #include "protocol/msg_crash.h"
 
 #define TICK_US (10 * FP_US_PER_MS)
@@ -144,6 +145,12 @@
 			break;
 		execution_cancel(t, link, corr);
 		return;
+	case FP_MSG_BODY_CALL:
+	case FP_MSG_BODY_PART:
+	case FP_MSG_BODY_CREDIT:
+		if (parts_message(t, link, data, bytes) != FP_OK)
+			break;
+		return;
 	default:
 		if (t->hosted && dispatch_shared(t, link, data, bytes) == FP_OK)
 			return;
@@ -164,6 +171,11 @@
 		owner_link(t, fp_peer_identity(link), false);
 }
 
+static void on_link_room(void *ctx, struct fp_peer_link *link)
+{
+	parts_link_room(ctx, link);
+}
+
 static void on_link_up(void *ctx, struct fp_peer_link *link)
 {
 	struct fp_traffic *t = ctx;
@@ -227,6 +239,7 @@
 	struct fp_peer_handler h = { .frame = on_frame,
 				     .up = on_link_up,
 				     .down = on_link_down,
+				     .room = on_link_room,
 				     .ctx = t };
 
 	return fp_peer_init(t->loop, &cfg, &h, &t->peers);
@@ -242,6 +255,7 @@
 	worker_tick(t, now_us);
 	cold_tick(t, now_us);
 	execution_tick(t, now_us);
+	parts_tick(t, now_us);
 	tokens_tick(t);
 	if (t->hosted)
 		owner_tick(t, now_us);
@@ -322,6 +336,7 @@
 	tokens_init(t);
 	owner_init(t);
 	claim_init(t);
+	parts_init(t);
 	st = fp_loop_init(clock, &t->loop);
 	if (st == FP_OK) {
 		cold_init(t);
@@ -395,6 +410,7 @@
 	fp_admission_end(t->admission);
 	cold_end(t);
 	speed_end(t);
+	parts_end(t);
 	fp_byte_account_end(t->bytes);
 	free(t->decisions);
 	fp_run_times_end(t->call_times);
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -35,6 +35,7 @@
 #define FP_MAX_ABORTED_CALLS 256
 
 struct call;
+struct parts;
 struct execution;
 struct org_tokens;
 struct owner;
@@ -119,6 +120,7 @@
 	struct fp_recovery recovery; /* overload episodes of all root calls */
 	int64_t held_us; /* last update of the metrics of it */
 	struct fp_byte_account *bytes; /* held for clients and workers */
+	struct parts *parts; /* bodies that pass between nodes in parts */
 	bool worker_leaving; /* it announced that it is leaving */
 	bool has_secret; /* links to other nodes can be established */
 	bool isolated; /* API keys cannot be trusted */
@@ -198,6 +200,8 @@
 /** Handles a reply; link NULL: from this node itself. */
 void call_reply(struct fp_traffic *t, struct fp_peer_link *link,
 		const struct fp_msg_reply *r);
+/** Ends an attempt whose exit node takes no parts of its body. */
+void call_body_stalled(struct fp_traffic *t, uint64_t corr);
 /** Ends the attempts sent on a link that went down. was_up: the link had been
  *  established. */
 void call_link_down(struct fp_traffic *t, struct fp_peer_link *link,
@@ -273,6 +277,36 @@
 /** Updates the metrics of what is held for clients, once a second. */
 void held_tick(struct fp_traffic *t, int64_t now_us);
 
+/* --- parts.c: bodies that pass between nodes in parts --- */
+
+void parts_init(struct fp_traffic *t);
+/** Handles a call whose body follows, a part or a credit; FP_INVALID with a last
+ *  message if it cannot be decoded. */
+enum fp_status parts_message(struct fp_traffic *t, struct fp_peer_link *link,
+			     const uint8_t *data, size_t bytes);
+/** A link has room for more parts. */
+void parts_link_room(struct fp_traffic *t, struct fp_peer_link *link);
+/** Ends the bodies that are late or make no progress. */
+void parts_tick(struct fp_traffic *t, int64_t now_us);
+/** Returns whether the body of a call is sent in parts. */
+bool parts_wanted(const struct fp_msg_call *m);
+/** Sends a call whose body then follows in parts, and which must last until they
+ *  are sent or parts_stop(); errors as fp_peer_send(). */
+enum fp_status parts_send(struct fp_traffic *t, struct fp_peer_link *link,
+			  const struct fp_msg_call *m);
+/** Returns whether the call of an attempt cannot run since parts of its body were
+ *  not sent. */
+bool parts_unsent(const struct fp_traffic *t, uint64_t corr);
+/** Sends no more parts for an attempt that has ended, and tells the exit node if
+ *  it waits for them. */
+void parts_stop(struct fp_traffic *t, struct fp_peer_link *link, uint64_t corr);
+/** Expects the body of an execution in parts; FP_CONFLICT if a call with the same
+ *  correlation id arrives already. */
+enum fp_status parts_expect(struct execution *e, size_t body_bytes);
+/** Expects no more parts for an execution. */
+void parts_forget(struct execution *e);
+void parts_end(struct fp_traffic *t);
+
 /* --- slo_node.c: service levels --- */
 
 void slo_init(struct fp_traffic *t);
@@ -303,6 +337,14 @@
 		      const uint8_t *data, size_t bytes);
 /** The same for a call from this node itself; takes over the data, malloc'd. */
 void execution_accept_own(struct fp_traffic *t, uint8_t *data, size_t bytes);
+/** The same for a call whose body, not 0 bytes, follows in parts. */
+void execution_accept_parts(struct fp_traffic *t, struct fp_peer_link *link,
+			    const uint8_t *data, size_t bytes,
+			    uint64_t body_bytes);
+/** Continues an execution whose body is whole. */
+void execution_body_whole(struct execution *e);
+/** Refuses an execution whose body did not become whole. */
+void execution_body_failed(struct execution *e, enum fp_reason why);
 void execution_init(struct fp_traffic *t);
 /** Applies the worker's slots and the active preset to admission. */
 void execution_update_params(struct fp_traffic *t);
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -42,13 +42,15 @@
 #include "transport/buffer.h"
 #include "transport/peer_crypto.h"
 
-#define HEARTBEAT_US	    (400 * FP_US_PER_MS)
-#define SILENCE_US	    (1500 * FP_US_PER_MS)
-#define HANDSHAKE_US	    (1000 * FP_US_PER_MS)
-#define IDLE_US		    (60 * FP_US_PER_S)
-#define TICK_US		    (100 * FP_US_PER_MS)
-#define LENGTH_BYTES	    4
-#define MAX_QUEUED_BYTES    (8u << 20)
+#define HEARTBEAT_US	 (400 * FP_US_PER_MS)
+#define SILENCE_US	 (1500 * FP_US_PER_MS)
+#define HANDSHAKE_US	 (1000 * FP_US_PER_MS)
+#define IDLE_US		 (60 * FP_US_PER_S)
+#define TICK_US		 (100 * FP_US_PER_MS)
+#define LENGTH_BYTES	 4
+#define MAX_QUEUED_BYTES (8u << 20)
+/* Beyond this many queued bytes, what can wait does. */
+#define ROOM_BYTES	    (128u << 10)
 #define READ_BYTES	    65536
 #define MAX_LINKS	    4096
 #define HELLO_BYTES	    (1 + FP_NONCE_BYTES + 8 + FP_PEER_ADDR_BYTES)
@@ -530,8 +532,11 @@
 			on_connected(l);
 		return;
 	}
-	if (events & FP_WRITABLE)
+	if (events & FP_WRITABLE) {
 		flush(l);
+		if (l->net->handler.room && fp_peer_has_room(l))
+			l->net->handler.room(l->net->handler.ctx, l);
+	}
 	if (l->state != CLOSED && (events & (FP_READABLE | FP_HANGUP)))
 		read_available(l);
 }
@@ -818,6 +823,11 @@
 	return &l->peer;
 }
 
+bool fp_peer_has_room(const struct fp_peer_link *l)
+{
+	return l->state == UP && fp_buffer_used(&l->out) < ROOM_BYTES;
+}
+
 bool fp_peer_is_up(const struct fp_peer_link *l)
 {
 	return l->state == UP;
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -48,6 +48,8 @@
 	 * have not arrived otherwise.
 	 */
 	void (*down)(void *ctx, struct fp_peer_link *link, bool was_up);
+	/** A link on which frames waited has room again; NULL: not needed. */
+	void (*room)(void *ctx, struct fp_peer_link *link);
 	void *ctx;
 };
 
@@ -97,6 +99,10 @@
 /** Returns the largest frame that fp_peer_send() accepts. */
 size_t fp_peer_max_frame_bytes(const struct fp_peer_net *n);
 
+/** Returns whether few bytes wait on a link: a frame sent now does not hold up
+ *  later ones for long. If not, the handler's room() is called when there are. */
+bool fp_peer_has_room(const struct fp_peer_link *l);
+
 /** Returns the identity of the other end; its id is 0 until the link is up. */
 const struct fp_peer_identity *fp_peer_identity(const struct fp_peer_link *l);
 /** Returns whether the link is established. */
--- a/test/test_peer.cc
+++ b/test/test_peer.cc
@@ -22,6 +22,7 @@
 	std::vector<std::string> frames;
 	int ups = 0;
 	int downs_after_up = 0;
+	int rooms = 0;
 	int downs_before_up = 0;
 	struct fp_peer_link *last = nullptr;
 };
@@ -48,6 +49,12 @@
 		  ((End *)ctx)->downs_before_up)++;
 }
 
+static void on_room(void *ctx, struct fp_peer_link *link)
+{
+	EXPECT_TRUE(fp_peer_has_room(link));
+	((End *)ctx)->rooms++;
+}
+
 class Peer : public ::testing::Test
 {
       protected:
@@ -66,7 +73,8 @@
 	{
 		uint8_t secrets[4][FP_PEER_SECRET_BYTES];
 		struct fp_peer_config cfg = {};
-		struct fp_peer_handler h = { on_frame, on_up, on_down, &e };
+		struct fp_peer_handler h = { on_frame, on_up, on_down, on_room,
+					     &e };
 		struct sockaddr_in sin = {};
 		socklen_t len = sizeof(sin);
 		int fd = socket(AF_INET, SOCK_STREAM, 0);
