Decisions on a request can be asked without taking anything

Cause: what a node decides on a request (route, key, early refusal, token, worker) was done and applied in one step, so nothing could tell it in advance.

Change: intake_find_route(), intake_set_org(), balancer_choose() and offer() are the former bodies, without refusing, counting or remembering. Early shedding, limits, tokens and grants have a peek beside them. A request is decided as before, in the same order.

--- a/src/node/answer.c
+++ b/src/node/answer.c
@@ -76,7 +76,7 @@
 /* HTTP status of a refusal. In dialects with status_means_not_run the status
  * also reports whether the request ran: if it may have run, 502 replaces the
  * statuses above; if it did not run, 503 replaces any other 5xx. */
-static int refusal_status(const struct fp_traffic *t, enum fp_outcome outcome,
+int answer_refusal_status(const struct fp_traffic *t, enum fp_outcome outcome,
 			  enum fp_reason reason)
 {
 	int status = fp_reason_http_status(reason);
@@ -120,7 +120,7 @@
 	len = snprintf(body, sizeof(body),
 		       "{\"outcome\": \"%s\", \"reason\": \"%s\"}\n",
 		       fp_outcome_name(outcome), fp_reason_name(reason));
-	fp_http_reply(x, refusal_status(t, outcome, reason), h, n, body,
+	fp_http_reply(x, answer_refusal_status(t, outcome, reason), h, n, body,
 		      (size_t)len);
 }
 
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -29,8 +29,6 @@
 #define MIN_ATTEMPT_US (20 * FP_US_PER_MS)
 /* Time after which a full send queue of a link is tried again. */
 #define LINK_WAIT_US (20 * FP_US_PER_MS)
-/* Retry-After of a stopping node: time for a caller to pick another node. */
-#define RETRY_ELSEWHERE_US (100 * FP_US_PER_MS)
 /* Shortest Retry-After of a refusal. */
 #define RETRY_AFTER_MIN_US (100 * FP_US_PER_MS)
 /* Retry-After is the target latency divided by this, so that the caller's
@@ -202,12 +200,18 @@
 	       why != FP_REASON_ID_REUSED;
 }
 
+enum fp_outcome call_refused_outcome(const struct call *c, enum fp_reason why)
+{
+	return c->may_have_run || earlier_may_have_run(c, why) ?
+		       FP_OUTCOME_UNKNOWN :
+		       FP_OUTCOME_NOT_RUN;
+}
+
 void call_refuse(struct call *c, enum fp_outcome outcome, enum fp_reason why,
 		 int64_t retry_after_us)
 {
-	if (outcome == FP_OUTCOME_NOT_RUN &&
-	    (c->may_have_run || earlier_may_have_run(c, why)))
-		outcome = FP_OUTCOME_UNKNOWN;
+	if (outcome == FP_OUTCOME_NOT_RUN)
+		outcome = call_refused_outcome(c, why);
 	log_end(c, outcome, why, 0);
 	claim_end(c, outcome, NULL);
 	limits_record_end(c, why, 0);
@@ -220,7 +224,7 @@
 void call_refuse_stopping(struct call *c)
 {
 	call_refuse(c, FP_OUTCOME_NOT_RUN, FP_REASON_STOPPING,
-		    RETRY_ELSEWHERE_US);
+		    FP_RETRY_ELSEWHERE_US);
 }
 
 void call_answer(struct call *c, const struct fp_msg_reply *r)
@@ -445,7 +449,7 @@
 {
 	enum fp_reason why;
 
-	c->claim_undecided = c->msg.non_idempotent && !c->without_claim;
+	c->claim_undecided = call_needs_claim(c);
 	if (!drain_can_finish_call(c)) {
 		call_refuse_stopping(c);
 		return;
@@ -471,8 +475,7 @@
 		call_refuse(c, FP_OUTCOME_NOT_RUN, why, call_retry_after_us(c));
 		return;
 	}
-	/* Nested calls need no token: their root took one. */
-	if (c->org_index != UINT32_MAX && !c->t->settings->overload_off)
+	if (call_needs_token(c))
 		st = tokens_take(c);
 	if (st == FP_OK)
 		call_after_token(c);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -54,6 +54,26 @@
 /** Copies service, idempotency, target latency and worker limit of a route. */
 void call_set_route(struct call *c, const struct fp_route *r);
 
+/* --- call_intake.c: what a request is, before it becomes a call --- */
+
+/** Finds the route of a request; FP_REASON_NONE, or the reason to refuse it.
+ *  host may be NULL. */
+enum fp_reason intake_find_route(const struct fp_traffic *t, const char *host,
+				 const char *method, const char *uri,
+				 const struct fp_route **route);
+/** Whether requests on a route need the key of an organisation. */
+bool intake_needs_key(const struct fp_traffic *t, const struct fp_route *route);
+/** Sets the organisation of a call on a route that needs a key; found and org:
+ *  result of looking for the key. Returns FP_REASON_NONE, or the reason to
+ *  refuse the call. */
+enum fp_reason intake_set_org(struct call *c, bool has_key,
+			      enum fp_status found, uint32_t org);
+/** Identifies requests with equal organisation, method, target and body. */
+uint64_t intake_fingerprint(const struct call *c);
+/** Returns the Retry-After of a request that is refused for that reason before
+ *  its call began; 0: none. c is NULL if no call was created. */
+int64_t intake_retry_after_us(const struct call *c, enum fp_reason why);
+
 /** Starts a call whose fields are all set: takes its claim, checks the limits,
  *  takes a token and sends it to a worker. The call may be freed when this
  *  returns. */
@@ -72,6 +92,26 @@
 /** Retry-After of refusals when no better value is known, microseconds. */
 #define FP_RETRY_AFTER_DEFAULT_US FP_US_PER_S
 
+/** Retry-After of a stopping node: time for a caller to pick another node. */
+#define FP_RETRY_ELSEWHERE_US (100 * FP_US_PER_MS)
+
+/** Whether a call takes a token. Nested calls need none: their root took
+ *  one. */
+static inline bool call_needs_token(const struct call *c)
+{
+	return c->org_index != UINT32_MAX && !c->t->settings->overload_off;
+}
+
+/** Whether a call takes a claim before anything else is decided. */
+static inline bool call_needs_claim(const struct call *c)
+{
+	return c->msg.non_idempotent && !c->without_claim;
+}
+
+/** Returns the outcome to report when a call is refused that no attempt of its
+ *  own has run: an attempt or an earlier arrival of the request may have. */
+enum fp_outcome call_refused_outcome(const struct call *c, enum fp_reason why);
+
 /** Returns the Retry-After of a call that is refused for load. */
 int64_t call_retry_after_us(const struct call *c);
 
@@ -87,6 +127,18 @@
 
 /** Returns FP_REASON_NONE, or the reason to refuse the call. */
 enum fp_reason limits_check(struct call *c);
+
+/** What limits_check() would decide of a root call. */
+struct limits_view {
+	enum fp_reason why; /**< a certain refusal, or FP_REASON_NONE */
+	double by_preset; /**< probability that the preset admits it */
+	double by_load; /**< probability that early shedding admits it */
+	char overloaded[FP_NAME_BYTES]; /**< service that decides by_load */
+};
+
+/** Tells what limits_check() would decide of a root call without an
+ *  Idempotency-Key; changes nothing. */
+void limits_peek(const struct call *c, struct limits_view *v);
 /** Records how a call ended; http_status 0: it was refused. */
 void limits_record_end(struct call *c, enum fp_reason why, int http_status);
 /** Updates the service loads, and for a root call the services of its route,
@@ -103,6 +155,24 @@
 /** Takes a token; FP_OK. FP_AGAIN: the call waits, and call_after_token() or
  *  call_refuse() follows. FP_FULL: too many calls wait already. */
 enum fp_status tokens_take(struct call *c);
+
+/** What tokens_take() would do, and by what news. */
+struct tokens_view {
+	bool limited; /**< the organisation has a rate */
+	enum fp_status result; /**< as of tokens_take() */
+	uint32_t held; /**< tokens of grants held here */
+	uint32_t waiting; /**< calls that wait for a token */
+	/** after FP_AGAIN: the last answer of the owner says that the rate is
+	 *  used up */
+	bool exhausted;
+	int64_t exhausted_age_us; /**< of the last such answer; -1: none */
+	bool standalone; /**< this node's own share is used */
+};
+
+/** Tells what tokens_take() would do with a call of that organisation; changes
+ *  nothing. */
+void tokens_peek(const struct fp_traffic *t, const char *org,
+		 struct tokens_view *v);
 /** Removes a call from the queue for tokens, if it is in it. */
 void tokens_cancel_wait(struct call *c);
 
--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -92,34 +92,52 @@
 				t->settings->revoke_us - REVOKE_MARGIN_US;
 }
 
+bool intake_needs_key(const struct fp_traffic *t, const struct fp_route *route)
+{
+	return !route->open && !t->config->keyless;
+}
+
+enum fp_reason intake_set_org(struct call *c, bool has_key,
+			      enum fp_status found, uint32_t org)
+{
+	const struct fp_org *o;
+
+	if (!has_key)
+		return FP_REASON_KEY_MISSING;
+	if (!keys_are_fresh(c->t))
+		return FP_REASON_ISOLATED;
+	if (found != FP_OK)
+		return FP_REASON_KEY_UNKNOWN;
+	o = &c->t->config->orgs[org];
+	c->org_index = org;
+	snprintf(c->msg.org, sizeof(c->msg.org), "%s", o->name);
+	c->msg.org_weight = o->rate_per_s;
+	if (o->has_class)
+		c->msg.cls = o->cls;
+	return FP_REASON_NONE;
+}
+
 /* Sets the organisation of the call from its key. Returns FP_REASON_NONE, or
  * the reason to refuse the request. */
 static enum fp_reason check_key(struct call *c, const struct fp_route *route,
 				const struct fp_http_request *r)
 {
-	const struct fp_config *cfg = c->t->config;
-	uint8_t hash[FP_KEY_HASH_BYTES];
 	const char *key = find_key(c->t, r);
+	enum fp_status found = FP_NOT_FOUND;
+	uint8_t hash[FP_KEY_HASH_BYTES];
+	uint32_t org = UINT32_MAX;
 
 	c->org_index = UINT32_MAX;
 	c->msg.org_weight = OPEN_ORG_WEIGHT;
 	if (key && key_misplaced(c->t, r, key))
 		return FP_REASON_KEY_MISPLACED;
-	if (route->open || cfg->keyless)
+	if (!intake_needs_key(c->t, route))
 		return FP_REASON_NONE;
-	if (!key)
-		return FP_REASON_KEY_MISSING;
-	if (!keys_are_fresh(c->t))
-		return FP_REASON_ISOLATED;
-	fp_key_hash(key, strlen(key), hash);
-	if (fp_config_find_key(cfg, hash, &c->org_index) != FP_OK)
-		return FP_REASON_KEY_UNKNOWN;
-	snprintf(c->msg.org, sizeof(c->msg.org), "%s",
-		 cfg->orgs[c->org_index].name);
-	c->msg.org_weight = cfg->orgs[c->org_index].rate_per_s;
-	if (cfg->orgs[c->org_index].has_class)
-		c->msg.cls = cfg->orgs[c->org_index].cls;
-	return FP_REASON_NONE;
+	if (key) {
+		fp_key_hash(key, strlen(key), hash);
+		found = fp_config_find_key(c->t->config, hash, &org);
+	}
+	return intake_set_org(c, key != NULL, found, org);
 }
 
 /* Sets the earlier of the caller's deadline, if any, and limit_us. */
@@ -138,8 +156,7 @@
 		c->deadline_us = at_us;
 }
 
-/* Identifies requests with equal organisation, method, target and body. */
-static uint64_t request_fingerprint(const struct call *c)
+uint64_t intake_fingerprint(const struct call *c)
 {
 	XXH3_state_t *st = XXH3_createState();
 	uint64_t h;
@@ -167,6 +184,13 @@
 	return attempts ? attempts - 1 : 0;
 }
 
+int64_t intake_retry_after_us(const struct call *c, enum fp_reason why)
+{
+	if (fp_reason_http_status(why) != 503)
+		return 0;
+	return c ? call_retry_after_us(c) : FP_RETRY_AFTER_DEFAULT_US;
+}
+
 /* Refuses a request for which no call was created. */
 static void refuse(struct fp_traffic *t, struct fp_http_exchange *x,
 		   const struct fp_http_request *r, enum fp_class cls,
@@ -189,7 +213,21 @@
 	       fp_log_sanitize(host ? host : "-", host_word), path_word,
 	       fp_reason_name(why), t->config ? t->config->revision : 0);
 	answer_refuse(t, x, cls, FP_OUTCOME_NOT_RUN, why,
-		      fp_reason_http_status(why) == 503 ? FP_US_PER_S : 0);
+		      intake_retry_after_us(NULL, why));
+}
+
+enum fp_reason intake_find_route(const struct fp_traffic *t, const char *host,
+				 const char *method, const char *uri,
+				 const struct fp_route **route)
+{
+	if (!t->config)
+		return FP_REASON_NO_CONFIG;
+	if (strlen(uri) >= FP_URI_BYTES || strlen(method) >= FP_METHOD_BYTES)
+		return FP_REASON_TOO_LARGE;
+	if (!fp_path_is_normalized(uri, t->config->byte_prefixes))
+		return FP_REASON_MALFORMED;
+	*route = fp_config_find_route(t->config, host, method, uri);
+	return *route ? FP_REASON_NONE : FP_REASON_ROUTE_UNKNOWN;
 }
 
 /* Finds the route of a request; NULL: the request was refused. */
@@ -197,26 +235,14 @@
 					 struct fp_http_exchange *x,
 					 const struct fp_http_request *r)
 {
-	const struct fp_route *route;
-
-	if (!t->config) {
-		refuse(t, x, r, FP_CLASS_NORMAL, FP_REASON_NO_CONFIG);
-		return NULL;
-	}
-	if (strlen(r->uri) >= FP_URI_BYTES ||
-	    strlen(r->method) >= FP_METHOD_BYTES) {
-		refuse(t, x, r, FP_CLASS_NORMAL, FP_REASON_TOO_LARGE);
-		return NULL;
-	}
-	if (!fp_path_is_normalized(r->uri, t->config->byte_prefixes)) {
-		refuse(t, x, r, FP_CLASS_NORMAL, FP_REASON_MALFORMED);
-		return NULL;
-	}
-	route = fp_config_find_route(t->config, header(r, "Host"), r->method,
-				     r->uri);
-	if (!route)
-		refuse(t, x, r, FP_CLASS_NORMAL, FP_REASON_ROUTE_UNKNOWN);
-	return route;
+	const struct fp_route *route = NULL;
+	enum fp_reason why = intake_find_route(t, header(r, "Host"), r->method,
+					       r->uri, &route);
+
+	if (why == FP_REASON_NONE)
+		return route;
+	refuse(t, x, r, FP_CLASS_NORMAL, why);
+	return NULL;
 }
 
 /* Creates a call on the route of a request; NULL: the request was refused. */
@@ -354,13 +380,12 @@
 	why = check_key(c, route, r);
 	if (why != FP_REASON_NONE) {
 		call_refuse(c, FP_OUTCOME_NOT_RUN, why,
-			    why == FP_REASON_ISOLATED ? call_retry_after_us(c) :
-							0);
+			    intake_retry_after_us(c, why));
 		return;
 	}
 	c->msg.rank = fp_shed_rank(c->msg.cls, route->cls);
 	randombytes_buf(c->msg.root, sizeof(c->msg.root));
-	c->msg.fingerprint = request_fingerprint(c);
+	c->msg.fingerprint = intake_fingerprint(c);
 	memcpy(c->msg.caller, t->settings->service, sizeof(c->msg.caller));
 	c->attempt_budget.left = route->max_workers ?
 					 route->max_workers - 1 :
--- a/src/node/limits.c
+++ b/src/node/limits.c
@@ -169,13 +169,26 @@
 	return 0;
 }
 
-static bool shed_by_preset(const struct call *c)
+/* Percentage of the requests of this class that the preset admits. */
+static uint32_t preset_percent(const struct call *c)
 {
 	const struct fp_preset *p = preset(c->t);
 
-	if (c->msg.cls != FP_CLASS_SHEDDABLE || !p)
-		return false;
-	return randombytes_uniform(100) >= p->sheddable_percent;
+	return c->msg.cls == FP_CLASS_SHEDDABLE && p ? p->sheddable_percent :
+						       100;
+}
+
+static bool shed_by_preset(const struct call *c)
+{
+	uint32_t percent = preset_percent(c);
+
+	return percent < 100 && randombytes_uniform(100) >= percent;
+}
+
+/* Whether keys cannot be trusted, and the call has one. */
+static bool is_isolated(const struct call *c)
+{
+	return c->t->isolated && c->org_index != UINT32_MAX;
 }
 
 static enum fp_reason check_root(struct call *c, int64_t now_us)
@@ -184,7 +197,7 @@
 	uint64_t fingerprint = keyed_fingerprint(c);
 	const char *overloaded = NULL;
 
-	if (t->isolated && c->org_index != UINT32_MAX)
+	if (is_isolated(c))
 		return FP_REASON_ISOLATED;
 	if (t->settings->overload_off)
 		return FP_REASON_NONE;
@@ -286,6 +299,25 @@
 	return c->msg.nested ? check_nested(c) : check_root(c, now_us);
 }
 
+void limits_peek(const struct call *c, struct limits_view *v)
+{
+	const struct fp_traffic *t = c->t;
+	int64_t now_us = fp_loop_now_us(t->loop);
+	int64_t wait_us;
+
+	*v = (struct limits_view){ .by_preset = 1, .by_load = 1 };
+	if (fp_poison_check(t->poison, c->msg.fingerprint, now_us, &wait_us) !=
+	    FP_OK)
+		v->why = FP_REASON_POISON;
+	else if (is_isolated(c))
+		v->why = FP_REASON_ISOLATED;
+	if (v->why != FP_REASON_NONE || t->settings->overload_off)
+		return;
+	v->by_preset = preset_percent(c) / 100.0;
+	v->by_load = fp_early_shed_peek(t->early_shed, c->msg.route,
+					c->msg.rank, now_us, v->overloaded);
+}
+
 void limits_update_loads(struct call *c, const struct fp_msg_reply *r)
 {
 	struct fp_traffic *t = c->t;
--- a/src/node/tokens.c
+++ b/src/node/tokens.c
@@ -225,6 +225,11 @@
 	return FP_OK;
 }
 
+static bool is_at_limit(const struct org_tokens *o, int64_t now_us)
+{
+	return o->exhausted_us && now_us - o->exhausted_us < AT_LIMIT_US;
+}
+
 /* Logs spent tokens; the lines of all nodes add up to the organisation's total
  * admissions. */
 static void report_spending(struct org_tokens *o, int64_t now_us)
@@ -310,6 +315,33 @@
 	return FP_AGAIN;
 }
 
+void tokens_peek(const struct fp_traffic *t, const char *org,
+		 struct tokens_view *v)
+{
+	const struct org_tokens *o =
+		apr_hash_get(t->tokens, org, APR_HASH_KEY_STRING);
+	int i = fp_config_find_org(t->config, org);
+	int64_t now_us = tokens_now_us(t);
+	struct org_tokens copy;
+
+	*v = (struct tokens_view){ .exhausted_age_us = -1 };
+	v->limited = i >= 0 && t->config->orgs[i].rate_per_s > 0;
+	v->result = t->hosted && !v->limited ? FP_OK : FP_AGAIN;
+	if (!o || v->result == FP_OK)
+		return;
+	copy = *o; /* what is taken from its share is not taken here */
+	v->held = fp_grants_peek(o->grants, now_us);
+	v->waiting = o->n_waiting;
+	v->exhausted = o->exhausted && is_at_limit(o, now_us);
+	if (o->exhausted_us)
+		v->exhausted_age_us = now_us - o->exhausted_us;
+	v->standalone = o->standalone;
+	if (!o->first && (v->held || take_from_share(&copy, now_us)))
+		v->result = FP_OK;
+	else if (o->n_waiting == MAX_WAITING)
+		v->result = FP_FULL;
+}
+
 static void refuse(struct org_tokens *o, struct call *c)
 {
 	tokens_cancel_wait(c);
@@ -318,11 +350,6 @@
 		    FP_RETRY_AFTER_DEFAULT_US);
 }
 
-static bool is_at_limit(const struct org_tokens *o, int64_t now_us)
-{
-	return o->exhausted_us && now_us - o->exhausted_us < AT_LIMIT_US;
-}
-
 /* Whether the shares may still be moving to a new owner, or this node's own
  * share cannot be used locally yet because its commitment has not expired. */
 static bool is_settling(const struct org_tokens *o, int64_t now_us)
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -176,6 +176,10 @@
 		   enum fp_class cls, enum fp_outcome outcome,
 		   enum fp_reason reason, int64_t retry_after_us);
 
+/** Returns the HTTP status of a refusal. */
+int answer_refusal_status(const struct fp_traffic *t, enum fp_outcome outcome,
+			  enum fp_reason reason);
+
 /** Forwards the complete response of a backend server. */
 void answer_forward(struct fp_traffic *t, struct fp_http_exchange *x,
 		    enum fp_class cls, const struct fp_msg_reply *r);
--- a/src/state/balancer_pick.c
+++ b/src/state/balancer_pick.c
@@ -310,9 +310,9 @@
 	return n ? found[next_draw(p) % n] : NULL;
 }
 
-enum fp_status fp_balancer_pick(struct fp_balancer *b, const char *service,
-				const uint64_t *avoid, uint32_t n_avoid,
-				uint64_t draw, int64_t now_us, uint64_t *id)
+struct worker *balancer_choose(struct fp_balancer *b, const char *service,
+			       const uint64_t *avoid, uint32_t n_avoid,
+			       uint64_t draw, int64_t now_us)
 {
 	struct pick p = { .b = b,
 			  .avoid = avoid,
@@ -321,20 +321,43 @@
 			  .now_us = now_us };
 	struct worker *w;
 
-	b->now_us = now_us;
 	balancer_find_service(b, service, &p.first, &p.end);
-	if (b->off) {
-		w = pick_uniform(&p);
-	} else {
-		p.by_slots = next_draw(&p) % PICKS_BY_SLOTS == 0;
-		p.ignore_ejections =
-			!balancer_has_better_worker(b, p.first, p.end, NULL, 1);
-		w = find_due_probe(&p);
-		if (!w)
-			w = pick_healthy(&p);
-		if (!w)
-			w = pick_any(&p);
-	}
+	if (b->off)
+		return pick_uniform(&p);
+	p.by_slots = next_draw(&p) % PICKS_BY_SLOTS == 0;
+	p.ignore_ejections =
+		!balancer_has_better_worker(b, p.first, p.end, NULL, 1);
+	w = find_due_probe(&p);
+	if (!w)
+		w = pick_healthy(&p);
+	return w ? w : pick_any(&p);
+}
+
+void balancer_read_figures(struct fp_balancer *b, const struct worker *w,
+			   bool ignore_ejections, int64_t now_us,
+			   struct balancer_figures *f)
+{
+	const struct pick p = { .b = b,
+				.now_us = now_us,
+				.ignore_ejections = ignore_ejections };
+
+	f->load = load_of(w, now_us);
+	f->fill = fill_of(w, now_us);
+	f->slowdown = slowdown_of(&p, w);
+	f->warm = warm_fraction(w, now_us);
+	f->end = end_of(&p, w);
+	f->stalled = is_stalled(w, now_us);
+	f->drawn = b->off ? w->info.serving : is_healthy(&p, w);
+}
+
+enum fp_status fp_balancer_pick(struct fp_balancer *b, const char *service,
+				const uint64_t *avoid, uint32_t n_avoid,
+				uint64_t draw, int64_t now_us, uint64_t *id)
+{
+	const struct worker *w =
+		balancer_choose(b, service, avoid, n_avoid, draw, now_us);
+
+	b->now_us = now_us;
 	if (!w)
 		return FP_NOT_FOUND;
 	*id = w->info.id;
--- a/src/state/balancer_private.h
+++ b/src/state/balancer_private.h
@@ -67,4 +67,24 @@
 				uint32_t end, const struct worker *exclude,
 				double failed);
 
+/** What the choice goes by, of one worker. */
+struct balancer_figures {
+	double load;
+	double fill; /* of all callers; 0: not known */
+	double slowdown; /* as it counts now */
+	double warm; /* part of its full weight */
+	double end; /* when a call would end, in run times of the service */
+	bool stalled;
+	bool drawn; /* among the workers that are drawn from at first */
+};
+
+/** The choice of fp_balancer_pick(); changes nothing. */
+struct worker *balancer_choose(struct fp_balancer *b, const char *service,
+			       const uint64_t *avoid, uint32_t n_avoid,
+			       uint64_t draw, int64_t now_us);
+/** Reads the figures of a worker; changes nothing. */
+void balancer_read_figures(struct fp_balancer *b, const struct worker *w,
+			   bool ignore_ejections, int64_t now_us,
+			   struct balancer_figures *f);
+
 #endif
--- a/src/state/early_shed.c
+++ b/src/state/early_shed.c
@@ -467,9 +467,10 @@
 	}
 }
 
-enum fp_status fp_early_shed_check(struct fp_early_shed *e, const char *route,
-				   uint8_t rank, uint32_t draw, int64_t now_us,
-				   const char **service)
+/* Counts the request and returns its admitted fraction, with the service that
+ * decides it if that is below 1. */
+static double offer(struct fp_early_shed *e, const char *route, uint8_t rank,
+		    int64_t now_us, const char **service)
 {
 	const struct route *r = find_route(e, hash_name(route));
 	struct service *s;
@@ -494,5 +495,31 @@
 			*service = s->name;
 		}
 	}
-	return draw < lowest * 4294967296.0 ? FP_OK : FP_EXHAUSTED;
+	return lowest;
+}
+
+enum fp_status fp_early_shed_check(struct fp_early_shed *e, const char *route,
+				   uint8_t rank, uint32_t draw, int64_t now_us,
+				   const char **service)
+{
+	double admitted = offer(e, route, rank, now_us, service);
+
+	return draw < admitted * 4294967296.0 ? FP_OK : FP_EXHAUSTED;
+}
+
+double fp_early_shed_peek(const struct fp_early_shed *e, const char *route,
+			  uint8_t rank, int64_t now_us,
+			  char service[FP_NAME_BYTES])
+{
+	struct fp_early_shed *copy = malloc(sizeof(*copy));
+	const char *name = "";
+	double admitted;
+
+	if (!copy)
+		abort();
+	memcpy(copy, e, sizeof(*copy));
+	admitted = offer(copy, route, rank, now_us, &name);
+	memcpy(service, name, strlen(name) + 1);
+	free(copy);
+	return admitted;
 }
--- a/src/state/early_shed.h
+++ b/src/state/early_shed.h
@@ -80,6 +80,12 @@
 				   uint8_t rank, uint32_t draw, int64_t now_us,
 				   const char **service);
 
+/** Returns the probability with which fp_early_shed_check() would admit a
+ *  request now, and the service that decides it ("": none); changes nothing. */
+double fp_early_shed_peek(const struct fp_early_shed *e, const char *route,
+			  uint8_t rank, int64_t now_us,
+			  char service[FP_NAME_BYTES]);
+
 void fp_early_shed_end(struct fp_early_shed *e);
 
 #ifdef __cplusplus
--- a/src/state/grants.c
+++ b/src/state/grants.c
@@ -222,17 +222,23 @@
 	return FP_NOT_FOUND;
 }
 
-uint32_t fp_grants_available(struct fp_grants *g, int64_t now_us)
+uint32_t fp_grants_peek(const struct fp_grants *g, int64_t now_us)
 {
 	uint32_t available = 0;
 	uint32_t i;
 
-	drop_expired(g, now_us);
 	for (i = 0; i < g->n_held; i++)
-		available += g->held[i].tokens;
+		if (g->held[i].expires_us > now_us)
+			available += g->held[i].tokens;
 	return available;
 }
 
+uint32_t fp_grants_available(struct fp_grants *g, int64_t now_us)
+{
+	drop_expired(g, now_us);
+	return fp_grants_peek(g, now_us);
+}
+
 void fp_grants_end(struct fp_grants *g)
 {
 	free(g);
--- a/src/state/grants.h
+++ b/src/state/grants.h
@@ -96,6 +96,8 @@
  *  waiting request there is nothing to request or return. */
 bool fp_grants_is_idle(struct fp_grants *g, int64_t now_us);
 
+/** The same as fp_grants_available(), without forgetting expired ones. */
+uint32_t fp_grants_peek(const struct fp_grants *g, int64_t now_us);
 /** Returns the number of held tokens that have not expired. */
 uint32_t fp_grants_available(struct fp_grants *g, int64_t now_us);
 void fp_grants_end(struct fp_grants *g);
--- a/test/test_early_shed.cc
+++ b/test/test_early_shed.cc
@@ -306,6 +306,34 @@
 	EXPECT_EQ(1000, admitted("other", FP_CLASS_SHEDDABLE, now_us));
 }
 
+TEST_F(EarlyShed, APeekTellsTheFractionAndChangesNothing)
+{
+	const int64_t now_us = 3600000;
+	char name[FP_NAME_BYTES];
+	int fraction[2];
+	double told;
+
+	EXPECT_EQ(1, fp_early_shed_peek(e, "r", 0, now_us, name));
+	EXPECT_STREQ("", name);
+	for (int asked = 0; asked < 2; asked++) {
+		fp_early_shed_end(e);
+		e = fp_early_shed_init();
+		fp_early_shed_use_tree_admission(e, true);
+		learn("r", "deep", 2);
+		report_load("deep", 0, 300, 400, 0, 3000000);
+		for (int i = 0; i < 500 * asked; i++)
+			fp_early_shed_peek(e, "r", FP_CLASS_NORMAL,
+					   3000000 + i * 1000, name);
+		told = fp_early_shed_peek(e, "r", FP_CLASS_NORMAL, now_us,
+					  name);
+		EXPECT_STREQ("deep", name);
+		fraction[asked] = admitted("r", FP_CLASS_NORMAL, now_us);
+		EXPECT_NEAR(told * 1000, fraction[asked], 1);
+	}
+	EXPECT_EQ(fraction[0], fraction[1]);
+	EXPECT_LT(fraction[0], 1000);
+}
+
 TEST_F(EarlyShed, LowerClassIsNeverAdmittedAtAHigherFraction)
 {
 	learn("r", "deep", 1);
