Command where: which worker a request would go to now, and why

Cause: explain tells what happened to a request. Why a caller is refused now, or why a worker gets nothing, could only be guessed from status and logs.

Change: POST /v1/where at the admin port and `fulmarpass where METHOD PATH`. The traffic thread takes the request through its own decisions without sending it (node/where.c); the worker is chosen by balancer_choose() on a copy of the balancer (state/balancer_explain.c). The draw is given; shares are counted over 1000 draws. Early refusals are told as a probability, and a token that the bucket's owner has to grant as his decision. The key check is that of status.

--- a/src/cmd/admin.c
+++ b/src/cmd/admin.c
@@ -95,25 +95,29 @@
 	a->curl = curl_easy_init();
 	if (!a->curl)
 		return false;
+	if (!key[0])
+		return true;
 	snprintf(header, sizeof(header), "Authorization: Bearer %s", key);
 	a->headers = curl_slist_append(NULL, header);
 	sodium_memzero(header, sizeof(header));
 	return a->headers != NULL;
 }
 
-enum cmd_exit admin_open(const struct cmd_options *o, struct admin **out)
+static enum cmd_exit open_admin(const struct cmd_options *o, bool needs_key,
+				struct admin **out)
 {
 	const char *node = o->node ? o->node : getenv(ADMIN_NODE_ENV);
-	char key[KEY_BYTES];
+	char key[KEY_BYTES] = "";
 	struct admin *a;
-	enum cmd_exit code;
+	enum cmd_exit code = CMD_DONE;
 
 	if (!node)
 		node = ADMIN_NODE_DEFAULT;
 	if (!fp_ip_port_valid(node))
 		return cmd_fail(o, CMD_USAGE,
 				"node: expected IP:PORT, got \"%.60s\"", node);
-	code = read_operator_key(o, key);
+	if (needs_key || o->key_file || getenv(ADMIN_KEY_ENV))
+		code = read_operator_key(o, key);
 	if (code)
 		return code;
 	a = calloc(1, sizeof(*a));
@@ -127,6 +131,17 @@
 	return CMD_DONE;
 }
 
+enum cmd_exit admin_open(const struct cmd_options *o, struct admin **out)
+{
+	return open_admin(o, true, out);
+}
+
+enum cmd_exit admin_open_keyless(const struct cmd_options *o,
+				 struct admin **out)
+{
+	return open_admin(o, false, out);
+}
+
 void admin_end(struct admin *a)
 {
 	if (!a)
--- a/src/cmd/admin.h
+++ b/src/cmd/admin.h
@@ -26,6 +26,10 @@
  */
 enum cmd_exit admin_open(const struct cmd_options *o, struct admin **a);
 
+/** The same for calls that some nodes answer without a key: without one none
+ *  is sent. */
+enum cmd_exit admin_open_keyless(const struct cmd_options *o, struct admin **a);
+
 void admin_end(struct admin *a);
 
 /** An answer; body is NULL if it was not JSON, and owned by the caller. */
--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -27,6 +27,10 @@
 	const char *kind; /**< of the file to check, or NULL */
 	const char *settings; /**< settings file of the node, or NULL */
 	const char *html; /**< HTML file to write, or NULL */
+	const char *host; /**< Host of the request, or NULL */
+	const char *org; /**< organisation of the request, or NULL */
+	const char *cls; /**< class of the request, or NULL */
+	const char *draw; /**< number that decides between workers, or NULL */
 	char **args; /**< arguments after the command's words */
 	int n_args;
 };
@@ -50,6 +54,7 @@
 enum cmd_exit cmd_status(const struct cmd_options *o);
 enum cmd_exit cmd_report(const struct cmd_options *o);
 enum cmd_exit cmd_explain(const struct cmd_options *o);
+enum cmd_exit cmd_where(const struct cmd_options *o);
 enum cmd_exit cmd_version(const struct cmd_options *o);
 
 /**
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -15,6 +15,7 @@
 #define TAKES_SETTINGS 8u
 #define TAKES_HTML     16u
 #define TAKES_FILES    32u /* one argument and one or more files */
+#define TAKES_REQUEST  64u /* method, path, and options of a request */
 
 /* Larger allocations are mapped on their own; the library would raise its
  * threshold with the size of each one that is freed. */
@@ -60,6 +61,8 @@
 	  "show service levels, error budgets and overload" },
 	{ "explain", NULL, "ID LOG...", TAKES_FILES, cmd_explain,
 	  "print the log lines of a request from several nodes" },
+	{ "where", NULL, "METHOD PATH", TAKES_NODE | TAKES_REQUEST, cmd_where,
+	  "show where a request would go now, without sending it" },
 	{ "version", NULL, NULL, 0, cmd_version, "show the version" },
 };
 
@@ -117,6 +120,15 @@
 	if (takes & TAKES_KIND)
 		puts("  --kind KIND              settings or declarations, "
 		     "else detected from the file");
+	if (takes & TAKES_REQUEST)
+		puts("  --host HOST              Host header of the request\n"
+		     "  --org NAME               organisation whose key it "
+		     "has, else it has no key\n"
+		     "  --class CLASS            important, normal or "
+		     "sheddable, else the class\n"
+		     "                           of its organisation or route\n"
+		     "  --draw NUMBER            number that decides between "
+		     "workers, else 1");
 	if (takes & TAKES_FORCE)
 		puts("  --force                  withdraw the keys of "
 		     "organisations that the\n"
@@ -148,6 +160,10 @@
 	OPT_FORCE,
 	OPT_SETTINGS,
 	OPT_HTML,
+	OPT_HOST,
+	OPT_ORG,
+	OPT_CLASS,
+	OPT_DRAW,
 };
 
 static const struct option long_options[] = {
@@ -160,6 +176,10 @@
 	{ "force", no_argument, NULL, OPT_FORCE },
 	{ "settings", required_argument, NULL, OPT_SETTINGS },
 	{ "html", required_argument, NULL, OPT_HTML },
+	{ "host", required_argument, NULL, OPT_HOST },
+	{ "org", required_argument, NULL, OPT_ORG },
+	{ "class", required_argument, NULL, OPT_CLASS },
+	{ "draw", required_argument, NULL, OPT_DRAW },
 	{ NULL, 0, NULL, 0 },
 };
 
@@ -212,6 +232,22 @@
 			o->html = optarg;
 			r->given |= TAKES_HTML;
 			break;
+		case OPT_HOST:
+			o->host = optarg;
+			r->given |= TAKES_REQUEST;
+			break;
+		case OPT_ORG:
+			o->org = optarg;
+			r->given |= TAKES_REQUEST;
+			break;
+		case OPT_CLASS:
+			o->cls = optarg;
+			r->given |= TAKES_REQUEST;
+			break;
+		case OPT_DRAW:
+			o->draw = optarg;
+			r->given |= TAKES_REQUEST;
+			break;
 		default:
 			return false;
 		}
@@ -241,12 +277,20 @@
 	return NULL;
 }
 
+static bool has_its_arguments(const struct command *c, int n)
+{
+	if (c->takes & TAKES_FILES)
+		return n >= 2;
+	if (c->takes & TAKES_REQUEST)
+		return n == 2;
+	return n == (c->arg ? 1 : 0);
+}
+
 static enum cmd_exit run(const struct command *c, const struct parsed_args *r)
 {
 	const struct cmd_options *o = &r->options;
 
-	if (c->takes & TAKES_FILES ? o->n_args < 2 :
-				     o->n_args != (c->arg ? 1 : 0))
+	if (!has_its_arguments(c, o->n_args))
 		return cmd_fail(o, CMD_USAGE, "%s: expected %s, see --help",
 				c->word, c->arg ? c->arg : "no argument");
 	if (r->given & ~c->takes)
--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -14,6 +14,7 @@
 
 #include "base/log.h"
 #include "coordination/directory.h"
+#include "node/where.h"
 #include "transport/http_server.h"
 
 /* Limits of the admin listener. */
@@ -199,10 +200,15 @@
 static void on_request(void *ctx, struct fp_http_exchange *x,
 		       const struct fp_http_request *r)
 {
+	struct fp_hosted *h = ctx;
+
 	if (strcmp(r->uri, "/metrics") == 0)
 		reply_metrics(ctx, x);
 	else if (strcmp(r->uri, "/v1/status") == 0)
 		reply_status(ctx, x);
+	else if (strcmp(r->uri, "/v1/where") == 0 &&
+		 strcmp(r->method, "POST") == 0)
+		where_request(h->loop, h->traffic, x, r);
 	else
 		fp_http_reply(x, 404, NULL, 0, "", 0);
 }
--- a/src/node/status.c
+++ b/src/node/status.c
@@ -1,5 +1,5 @@
 /*
- * status.c - GET /v1/status and GET /v1/slo of the admin port
+ * status.c - GET /v1/status, GET /v1/slo and POST /v1/where of the admin port
  *
  * The control thread checks the operator's key and posts a report request to
  * the traffic thread. The traffic thread posts a copy of its state back, and
@@ -15,13 +15,16 @@
 
 #include "coordination/operator_api.h"
 #include "node/slo_node.h"
+#include "node/where.h"
 
 /** A request of an operator, until it is answered. */
 struct operator_query {
 	struct fp_control *c;
 	struct fp_http_exchange *x;
 	bool slo; /* /v1/slo, else /v1/status */
+	struct where_question *where; /* of /v1/where, else NULL */
 	bool series; /* adds the counts of each time bucket, for plots */
+	const char *malformed; /* what is wrong with it, or NULL */
 	struct fp_traffic_report report;
 };
 
@@ -300,17 +303,33 @@
 	fp_loop_post(q->c->loop, render, q);
 }
 
-static void request_report(struct operator_query *q)
-{
-	fp_traffic_request_report(q->c->traffic, q->slo, on_report, q);
-}
-
 static void refuse(struct operator_query *q, int http_status, const char *body)
 {
 	reply(q->x, http_status, body);
+	where_end(q->where);
 	free(q);
 }
 
+static void refuse_malformed(struct operator_query *q)
+{
+	char body[128];
+
+	snprintf(body, sizeof(body), "{\"reason\": \"%s\"}", q->malformed);
+	refuse(q, 400, body);
+}
+
+static void request_report(struct operator_query *q)
+{
+	if (q->malformed) {
+		refuse_malformed(q);
+	} else if (q->where) {
+		where_ask(q->where, q->c->loop, q->c->traffic, q->x);
+		free(q);
+	} else {
+		fp_traffic_request_report(q->c->traffic, q->slo, on_report, q);
+	}
+}
+
 static void on_checked(void *ctx, int http_status, const char *answer)
 {
 	struct operator_query *q = ctx;
@@ -347,9 +366,11 @@
 	size_t path = strcspn(r->uri, "?");
 	bool slo = strncmp(r->uri, "/v1/slo", path) == 0 && path == 7;
 	bool status = strncmp(r->uri, "/v1/status", path) == 0 && path == 10;
+	bool where = strncmp(r->uri, "/v1/where", path) == 0 && path == 9 &&
+		     strcmp(r->method, "POST") == 0;
 	struct operator_query *q;
 
-	if (strcmp(r->method, "GET") != 0 || (!slo && !status))
+	if (!where && (strcmp(r->method, "GET") != 0 || (!slo && !status)))
 		return false;
 	q = calloc(1, sizeof(*q));
 	if (!q)
@@ -357,6 +378,8 @@
 	q->c = c;
 	q->x = x;
 	q->slo = slo;
+	if (where)
+		q->where = where_parse(r, &q->malformed);
 	q->series = strcmp(r->uri + path, "?series=1") == 0;
 	authorise(q, r);
 	return true;
--- a/test/test_cli.cc
+++ b/test/test_cli.cc
@@ -116,6 +116,13 @@
 		{ "status --settings a",
 		  "an option was given that this command does not accept" },
 		{ "check a b", "check: expected FILE" },
+		{ "where GET", "where: expected METHOD PATH" },
+		{ "where GET rota", "path: expected /" },
+		{ "where G:T /rota", "method: expected letters" },
+		{ "where GET /rota --class big", "class: expected important" },
+		{ "where GET /rota --draw x", "draw: expected a number" },
+		{ "where GET /rota --org ''", "org: expected a name" },
+		{ "where GET /rota --force", "does not accept" },
 		{ "version now", "version: expected no argument" },
 		{ "--loud", "unrecognized option" },
 		{ "check a --node 1.2.3.4:5",
@@ -156,6 +163,7 @@
 				   "preset list",
 				   "status",
 				   "report",
+				   "where",
 				   "version" };
 
 	for (const char *c : commands) {
@@ -200,7 +208,7 @@
 		EXPECT_NE(std::string::npos, page.find(word)) << word;
 		rows++;
 	}
-	EXPECT_EQ(23, rows);
+	EXPECT_EQ(24, rows);
 }
 
 TEST(Cli, CheckFiles)
--- a/test/test_e2e_places.cc
+++ b/test/test_e2e_places.cc
@@ -47,6 +47,18 @@
 		return runs(1) > before[0] && runs(2) > before[1];
 	}
 
+	/* Whether `fulmarpass where` at the entry says this of a request. */
+	bool says(const std::string &what)
+	{
+		std::string cmd = std::string(f->build) +
+				  "/fulmarpass where GET /inner/x --host "
+				  "h.example --node " +
+				  machines[0]->ip + ":8005 2>&1 | grep -q '" +
+				  what + "'";
+
+		return system(cmd.c_str()) == 0;
+	}
+
 	/* What became of the requests that send_for_ms() sent. */
 	struct Sent {
 		std::atomic<int> n{ 0 }, n_ok{ 0 };
@@ -97,6 +109,8 @@
 	int turned_back = count(*machines[1], "reason=stopping");
 	send_for_ms(1000, 2, &after);
 	EXPECT_EQ(after.n, after.n_ok);
+	EXPECT_TRUE(says("^sent to: n4"));
+	EXPECT_TRUE(says("^n3  *d0  *evacuated  *0.000"));
 	/* The entry does not even try. */
 	EXPECT_EQ(turned_back, count(*machines[1], "reason=stopping"));
 	EXPECT_EQ(before, runs(1));
@@ -106,6 +120,7 @@
 	int all = runs(1) + runs(2);
 	send_for_ms(500, 2, &none);
 	EXPECT_EQ(0, none.n_ok);
+	EXPECT_TRUE(says("^refused: no-worker, status 503"));
 	EXPECT_EQ(all, runs(1) + runs(2));
 	platform_store_remove(store, "op/evacuate/d0");
 	EXPECT_TRUE(wait([&] {
