A call waits for its link where it can be ended as not run

Cause: a call to a node without an established link was queued in the transport. At its deadline the caller got 502 or 504, outcome unknown, although no byte had been sent; and if the link came up, the worker got the time that was left when the call was queued, up to 1 s too much.

Change: the attempt waits at its call. It is encoded and sent when a link to the node is up, from either side; until then it ends as not run.

--- a/src/node/call.c
+++ b/src/node/call.c
@@ -148,6 +148,7 @@
 	apr_hash_set(t->calls, &c->corr, sizeof(c->corr), NULL);
 	c->corr = 0;
 	c->link = NULL;
+	c->awaits_link = false;
 }
 
 static void call_free(struct call *c)
@@ -254,7 +255,7 @@
 	msgpack_sbuffer buf;
 
 	/* A non-idempotent execution is never interrupted. */
-	if (!c->corr || c->msg.non_idempotent)
+	if (!c->corr || c->awaits_link || c->msg.non_idempotent)
 		return;
 	if (!c->link) {
 		execution_cancel(c->t, NULL, c->corr);
@@ -269,9 +270,9 @@
 static void on_deadline(void *ctx)
 {
 	struct call *c = ctx;
-	enum fp_outcome outcome =
-		c->corr ? FP_OUTCOME_UNKNOWN : FP_OUTCOME_NOT_RUN;
-
+	enum fp_outcome outcome = c->corr && !c->awaits_link ?
+					  FP_OUTCOME_UNKNOWN :
+					  FP_OUTCOME_NOT_RUN;
 	int64_t now_us = fp_loop_now_us(c->t->loop);
 
 	if (c->corr) {
@@ -366,7 +367,11 @@
 	fp_balancer_call_ended(c->t->balancer, c->worker, FP_BALANCER_FAILED,
 			       now_us - c->sent_us, NULL, now_us);
 	send_cancel(c);
-	attempt_ended(c, FP_OUTCOME_UNKNOWN, FP_REASON_CUT, true);
+	if (c->awaits_link)
+		attempt_ended(c, FP_OUTCOME_NOT_RUN, FP_REASON_NO_WORKER,
+			      false);
+	else
+		attempt_ended(c, FP_OUTCOME_UNKNOWN, FP_REASON_CUT, true);
 }
 
 /*
@@ -386,28 +391,49 @@
 		     on_attempt_timeout, c);
 }
 
+/* Encodes the call, with the time that it has left now. */
+static void encode(struct call *c, msgpack_sbuffer *buf)
+{
+	c->msg.left_us = c->deadline_us - fp_loop_now_us(c->t->loop);
+	msgpack_sbuffer_init(buf);
+	fp_msg_call_encode(&c->msg, buf);
+}
+
+static enum fp_status send_on_link(struct call *c)
+{
+	msgpack_sbuffer buf;
+	enum fp_status st;
+
+	encode(c, &buf);
+	st = fp_peer_send(c->link, buf.data, buf.size);
+	msgpack_sbuffer_destroy(&buf);
+	return st;
+}
+
+/*
+ * A link queues frames until it is established, which can take as long as a
+ * call may last. A call is not put there: it could not be taken back, and its
+ * time left would be that of an earlier moment. call_link_up() sends it.
+ */
 static enum fp_status transmit(struct call *c, const struct fp_member *m)
 {
 	struct fp_traffic *t = c->t;
-	enum fp_status st = FP_UNAVAILABLE;
 	msgpack_sbuffer buf;
 	size_t bytes;
 
-	msgpack_sbuffer_init(&buf);
-	fp_msg_call_encode(&c->msg, &buf);
 	if (m->id == t->node_id) {
 		c->link = NULL;
+		encode(c, &buf);
 		bytes = buf.size;
 		execution_accept_own(
 			t, (uint8_t *)msgpack_sbuffer_release(&buf), bytes);
-		st = FP_OK;
-	} else {
-		c->link = fp_peer_link_to(t->peers, m->peer_addr);
-		if (c->link)
-			st = fp_peer_send(c->link, buf.data, buf.size);
+		return FP_OK;
 	}
-	msgpack_sbuffer_destroy(&buf);
-	return st;
+	c->link = fp_peer_link_to(t->peers, m->peer_addr);
+	if (!c->link)
+		return FP_UNAVAILABLE;
+	c->awaits_link = !fp_peer_is_up(c->link);
+	return c->awaits_link ? FP_OK : send_on_link(c);
 }
 
 static const struct fp_member *pick_worker(struct call *c, int64_t now_us)
@@ -509,12 +535,29 @@
 		     on_link_wait_over, c);
 }
 
+/* Handles an attempt that could not be sent; st: the result of sending it. */
+static void check_sent(struct call *c, enum fp_status st)
+{
+	int64_t now_us;
+
+	/* The call may have been freed. */
+	if (st == FP_OK)
+		return;
+	now_us = fp_loop_now_us(c->t->loop);
+	if (st == FP_FULL) {
+		wait_for_link(c, now_us);
+		return;
+	}
+	fp_balancer_call_ended(c->t->balancer, c->worker, FP_BALANCER_FAILED, 0,
+			       NULL, now_us);
+	attempt_ended(c, FP_OUTCOME_NOT_RUN, FP_REASON_NO_WORKER, false);
+}
+
 void call_send(struct call *c)
 {
 	struct fp_traffic *t = c->t;
 	int64_t now_us = fp_loop_now_us(t->loop);
 	const struct fp_member *m;
-	enum fp_status st;
 	uint64_t corr;
 
 	if (!drain_can_finish_call(c)) {
@@ -527,8 +570,7 @@
 			    call_retry_after_us(c));
 		return;
 	}
-	c->msg.left_us = c->deadline_us - now_us;
-	if (c->msg.left_us <= 0) {
+	if (c->deadline_us <= now_us) {
 		call_refuse(c, FP_OUTCOME_NOT_RUN, FP_REASON_DEADLINE, 0);
 		return;
 	}
@@ -545,16 +587,41 @@
 	c->first_counted = true;
 	arm_attempt_timer(c, now_us);
 	fp_balancer_call_sent(t->balancer, m->id);
-	st = transmit(c, m);
-	if (st == FP_OK)
-		return;
-	if (st == FP_FULL) {
-		wait_for_link(c, now_us);
-		return;
+	check_sent(c, transmit(c, m));
+}
+
+/* Returns a call that waits for a link to the node at the other end of this
+ * one, or NULL. That node may have opened the link. */
+static struct call *next_awaiting(struct fp_traffic *t,
+				  const struct fp_peer_link *link)
+{
+	const char *addr = fp_peer_identity(link)->addr;
+	const struct fp_member *m;
+	struct call *c;
+
+	for (c = t->open_calls; c; c = c->next) {
+		if (!c->awaits_link)
+			continue;
+		m = traffic_member(t, c->worker);
+		if (c->link == link || (m && strcmp(m->peer_addr, addr) == 0))
+			return c;
+	}
+	return NULL;
+}
+
+void call_link_up(struct fp_traffic *t, struct fp_peer_link *link)
+{
+	struct call *c;
+
+	while ((c = next_awaiting(t, link))) {
+		if (c->deadline_us <= fp_loop_now_us(t->loop)) {
+			on_deadline(c);
+			continue;
+		}
+		c->awaits_link = false;
+		c->link = link;
+		check_sent(c, send_on_link(c));
 	}
-	fp_balancer_call_ended(t->balancer, m->id, FP_BALANCER_FAILED, 0, NULL,
-			       now_us);
-	attempt_ended(c, FP_OUTCOME_NOT_RUN, FP_REASON_NO_WORKER, false);
 }
 
 /* --- replies --- */
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -31,6 +31,7 @@
 	uint64_t corr; /* correlation id of the attempt in flight; 0: none */
 	uint64_t worker; /* id of the node of the last attempt */
 	struct fp_peer_link *link; /* NULL: the worker of this node */
+	bool awaits_link; /* the attempt is not sent until its link is up */
 	int64_t sent_us; /* start of the last attempt */
 	struct org_tokens *tokens; /* set while it waits for a token */
 	struct call *prev_waiting;
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -170,6 +170,7 @@
 
 	if (t->hosted)
 		owner_link(t, fp_peer_identity(link), true);
+	call_link_up(t, link);
 }
 
 static enum fp_status open_http(struct fp_traffic *t)
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -198,6 +198,8 @@
 /** Handles a reply; link NULL: from this node itself. */
 void call_reply(struct fp_traffic *t, struct fp_peer_link *link,
 		const struct fp_msg_reply *r);
+/** Sends the attempts that wait for a link to the node at its other end. */
+void call_link_up(struct fp_traffic *t, struct fp_peer_link *link);
 /** Ends the attempts sent on a link that went down. was_up: the link had been
  *  established. */
 void call_link_down(struct fp_traffic *t, struct fp_peer_link *link,
