test_http_client: the kept connection is the one in use

Cause of the second connections: each server of the loop leaves a connection in the client, which keeps four. libcurl 7.88 closes the "oldest" one beyond that by whole milliseconds; if all are of equal age, that can be the one just released. The next request then goes on a new connection, where a refusal without an id is valid, as it should be. The product is not at fault: a request may use a new connection at any time.

Change: a client of its own for each server, and a check, not there before, that the second request came on the first connection.

--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -75,6 +75,7 @@
 	std::string url;
 	std::atomic<int> n_requests{ 0 };
 	std::atomic<int> n_connections{ 0 };
+	std::atomic<int> last_used{ 0 }; /* connection of the last request */
 	std::atomic<bool> late_sent{ false };
 
       private:
@@ -103,6 +104,8 @@
 			n_connections++;
 			while (read_request()) {
 				size_t n = (size_t)n_requests++;
+
+				last_used = (int)n_connections;
 				if (n >= steps.size() || !serve(steps[n]))
 					break;
 			}
@@ -153,6 +156,14 @@
 		fp_http_client_end(client);
 		fp_loop_end(loop);
 	}
+	/* Closes all connections. The library keeps four here and closes the
+	 * oldest one beyond that, by milliseconds: among connections of equal
+	 * age that can be the one used last. */
+	void renew_client()
+	{
+		fp_http_client_end(client);
+		ASSERT_EQ(FP_OK, fp_http_client_init(loop, 4, &client));
+	}
 	/* Sends a request; its result is complete when its status is no longer
 	 * FP_AGAIN. */
 	void start(const ScriptedServer &server, const char *id,
@@ -311,9 +322,11 @@
 			ScriptedServer server({ { answer_to("a", "first") },
 						{ whole.substr(0, n), true } });
 
+			renew_client();
 			EXPECT_EQ("first", call(server, "a").body);
 			EXPECT_EQ(FP_IO, call(server, "b").status)
 				<< whole.substr(0, n);
+			EXPECT_EQ(1, server.last_used);
 		}
 	}
 }
@@ -336,9 +349,11 @@
 				  { bytes.substr(0, n) + answer_to("b"), true },
 				  { answer_to("c") } });
 
+			renew_client();
 			EXPECT_EQ("first", call(server, "a").body);
 			EXPECT_EQ(FP_IO, call(server, "b").status)
 				<< bytes.substr(0, n);
+			EXPECT_EQ(1, server.last_used);
 			EXPECT_EQ("mine", call(server, "c").body);
 		}
 	}
