--- a/src/node/call.c
+++ b/src/node/call.c
@@ -147,6 +147,7 @@
 	apr_hash_set(t->calls, &c->corr, sizeof(c->corr), NULL);
 	c->corr = 0;
 	c->link = NULL;
+	c->awaits_link = false;
 }
 
 static void call_free(struct call *c)
@@ -259,7 +260,7 @@
 	msgpack_sbuffer buf;
 
 	/* A non-idempotent execution is never interrupted. */
-	if (!c->corr || c->msg.non_idempotent)
+	if (!c->corr || c->awaits_link || c->msg.non_idempotent)
 		return;
 	if (!c->link) {
 		execution_cancel(c->t, NULL, c->corr);
@@ -271,10 +272,17 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+/* Whether the attempt in flight cannot run: the link to its exit node is not up
+ * yet, or parts of its body were not sent. */
+static bool is_unsent(const struct call *c)
+{
+	return c->awaits_link || parts_unsent(c->t, c->corr);
+}
+
 static void on_deadline(void *ctx)
 {
 	struct call *c = ctx;
-	enum fp_outcome outcome = c->corr && !parts_unsent(c->t, c->corr) ?
+	enum fp_outcome outcome = c->corr && !is_unsent(c) ?
 					  FP_OUTCOME_UNKNOWN :
 					  FP_OUTCOME_NOT_RUN;
 	int64_t now_us = fp_loop_now_us(c->t->loop);
@@ -387,7 +395,7 @@
  * established. Without its whole body a call does not run. */
 static void attempt_lost(struct call *c, bool sent)
 {
-	bool ran = sent && !parts_unsent(c->t, c->corr);
+	bool ran = sent && !is_unsent(c);
 
 	attempt_ended(c, ran ? FP_OUTCOME_UNKNOWN : FP_OUTCOME_NOT_RUN,
 		      ran ? FP_REASON_CUT : FP_REASON_NO_WORKER, ran);
@@ -435,34 +443,6 @@
 		     on_attempt_timeout, c);
 }
 
-static enum fp_status transmit(struct call *c, const struct fp_member *m)
-{
-	struct fp_traffic *t = c->t;
-	enum fp_status st = FP_UNAVAILABLE;
-	msgpack_sbuffer buf;
-	size_t bytes;
-
-	if (m->id != t->node_id && parts_wanted(&c->msg)) {
-		c->link = fp_peer_link_to(t->peers, m->peer_addr);
-		return c->link ? parts_send(t, c->link, &c->msg) : st;
-	}
-	msgpack_sbuffer_init(&buf);
-	fp_msg_call_encode(&c->msg, &buf);
-	if (m->id == t->node_id) {
-		c->link = NULL;
-		bytes = buf.size;
-		execution_accept_own(
-			t, (uint8_t *)msgpack_sbuffer_release(&buf), bytes);
-		st = FP_OK;
-	} else {
-		c->link = fp_peer_link_to(t->peers, m->peer_addr);
-		if (c->link)
-			st = fp_peer_send(c->link, buf.data, buf.size);
-	}
-	msgpack_sbuffer_destroy(&buf);
-	return st;
-}
-
 static const struct fp_member *pick_worker(struct call *c, int64_t now_us)
 {
 	struct fp_traffic *t = c->t;
@@ -564,12 +544,29 @@
 		     on_link_wait_over, c);
 }
 
+/* Handles an attempt that could not be sent; st: the result of sending it. */
+static void check_sent(struct call *c, enum fp_status st)
+{
+	int64_t now_us;
+
+	/* The call may have been freed. */
+	if (st == FP_OK)
+		return;
+	now_us = fp_loop_now_us(c->t->loop);
+	if (st == FP_FULL) {
+		wait_for_link(c, now_us);
+		return;
+	}
+	fp_balancer_call_ended(c->t->balancer, c->worker, FP_BALANCER_FAILED, 0,
+			       NULL, now_us);
+	attempt_ended(c, FP_OUTCOME_NOT_RUN, FP_REASON_NO_WORKER, false);
+}
+
 void call_send(struct call *c)
 {
 	struct fp_traffic *t = c->t;
 	int64_t now_us = fp_loop_now_us(t->loop);
 	const struct fp_member *m;
-	enum fp_status st;
 	uint64_t corr;
 
 	if (!drain_can_finish_call(c)) {
@@ -582,8 +579,7 @@
 			    call_retry_after_us(c));
 		return;
 	}
-	c->msg.left_us = c->deadline_us - now_us;
-	if (c->msg.left_us <= 0) {
+	if (c->deadline_us <= now_us) {
 		call_refuse(c, FP_OUTCOME_NOT_RUN, FP_REASON_DEADLINE, 0);
 		return;
 	}
@@ -600,16 +596,41 @@
 	c->first_counted = true;
 	arm_attempt_timer(c, now_us);
 	fp_balancer_call_sent(t->balancer, m->id);
-	st = transmit(c, m);
-	if (st == FP_OK)
-		return;
-	if (st == FP_FULL) {
-		wait_for_link(c, now_us);
-		return;
+	check_sent(c, call_transmit(c, m));
+}
+
+/* Returns a call that waits for a link to the node at the other end of this
+ * one, or NULL. That node may have opened the link. */
+static struct call *next_awaiting(struct fp_traffic *t,
+				  const struct fp_peer_link *link)
+{
+	const char *addr = fp_peer_identity(link)->addr;
+	const struct fp_member *m;
+	struct call *c;
+
+	for (c = t->open_calls; c; c = c->next) {
+		if (!c->awaits_link)
+			continue;
+		m = traffic_member(t, c->worker);
+		if (c->link == link || (m && strcmp(m->peer_addr, addr) == 0))
+			return c;
+	}
+	return NULL;
+}
+
+void call_link_up(struct fp_traffic *t, struct fp_peer_link *link)
+{
+	struct call *c;
+
+	while ((c = next_awaiting(t, link))) {
+		if (c->deadline_us <= fp_loop_now_us(t->loop)) {
+			on_deadline(c);
+			continue;
+		}
+		c->awaits_link = false;
+		c->link = link;
+		check_sent(c, call_transmit_on_link(c));
 	}
-	fp_balancer_call_ended(t->balancer, m->id, FP_BALANCER_FAILED, 0, NULL,
-			       now_us);
-	attempt_ended(c, FP_OUTCOME_NOT_RUN, FP_REASON_NO_WORKER, false);
 }
 
 /* --- replies --- */
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -32,6 +32,7 @@
 	uint64_t worker; /* id of the node of the last attempt */
 	uint64_t with_room; /* id that the next attempt goes to; 0: any */
 	struct fp_peer_link *link; /* NULL: the worker of this node */
+	bool awaits_link; /* the attempt is not sent until its link is up */
 	int64_t sent_us; /* start of the last attempt */
 	struct org_tokens *tokens; /* set while it waits for a token */
 	struct call *prev_waiting;
@@ -177,6 +178,15 @@
 /** Removes a call from the queue for tokens, if it is in it. */
 void tokens_cancel_wait(struct call *c);
 
+/* --- call_transmit.c: sending an attempt --- */
+
+/** Sends the attempt to its exit node; or sets awaits_link and returns FP_OK if
+ *  the link to it is not established. FP_FULL or FP_UNAVAILABLE: not sent. After
+ *  FP_OK the call may have ended. */
+enum fp_status call_transmit(struct call *c, const struct fp_member *m);
+/** The same on the established link of the call, which does not end it. */
+enum fp_status call_transmit_on_link(struct call *c);
+
 /* --- claim.c: non-idempotent requests --- */
 
 /** Requests the claim. Returns the reason to refuse the call, or FP_REASON_NONE
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -208,6 +208,8 @@
 		const struct fp_msg_reply *r);
 /** Ends an attempt whose exit node takes no parts of its body. */
 void call_body_stalled(struct fp_traffic *t, uint64_t corr);
+/** Sends the attempts that wait for a link to the node at its other end. */
+void call_link_up(struct fp_traffic *t, struct fp_peer_link *link);
 /** Ends the attempts sent on a link that went down. was_up: the link had been
  *  established. */
 void call_link_down(struct fp_traffic *t, struct fp_peer_link *link,
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -22,6 +22,9 @@
 namespace
 {
 
+/* Ends a test that hangs; no answer here is to come at a certain time. */
+const int64_t TIMEOUT_US = 30000000;
+
 const std::string REFUSAL = "HTTP/1.1 503 Service Unavailable\r\n"
 			    "Content-Length: 0\r\nNot-Run: 1\r\n";
 
@@ -75,6 +78,8 @@
 	std::string url;
 	std::atomic<int> n_requests{ 0 };
 	std::atomic<int> n_connections{ 0 };
+	std::atomic<int> last_used{ 0 }; /* connection of the last request */
+	std::atomic<bool> late_sent{ false };
 
       private:
 	/* Reads one request without a body; false: the connection ended. */
@@ -103,6 +108,7 @@
 			while (read_request()) {
 				size_t n = (size_t)n_requests++;
 
+				last_used = (int)n_connections;
 				if (n >= steps.size() || !serve(steps[n]))
 					break;
 			}
@@ -121,6 +127,7 @@
 			usleep(20000);
 			if (!write(s.late))
 				return false;
+			late_sent = true;
 		}
 		return !s.close;
 	}
@@ -152,12 +159,13 @@
 		fp_http_client_end(client);
 		fp_loop_end(loop);
 	}
-	void run_ms(int ms)
+	/* Closes all connections. The library keeps four here and closes the
+	 * oldest one beyond that, by milliseconds: among connections of equal
+	 * age that can be the one used last. */
+	void renew_client()
 	{
-		int64_t end_us = fp_mono_us(fp_system_clock()) + ms * 1000;
-
-		while (fp_mono_us(fp_system_clock()) < end_us)
-			fp_loop_run_once(loop, 1000);
+		fp_http_client_end(client);
+		ASSERT_EQ(FP_OK, fp_http_client_init(loop, 4, &client));
 	}
 	/* Sends a request; its result is complete when its status is no longer
 	 * FP_AGAIN. */
@@ -168,7 +176,7 @@
 
 		o.method = "GET";
 		o.url = server.url.c_str();
-		o.timeout_us = 2000000;
+		o.timeout_us = TIMEOUT_US;
 		o.max_answer_bytes = max_answer_bytes;
 		o.at_most_once = true;
 		o.echo_header = "Request-Id";
@@ -212,7 +220,8 @@
 		ScriptedServer server({ first, second, { answer_to("c") } });
 
 		EXPECT_EQ("first", call(server, "a").body);
-		run_ms(60);
+		while (early && !server.late_sent)
+			fp_loop_run_once(loop, 1000);
 		Result r = call(server, "b");
 		if (early)
 			EXPECT_EQ("mine", r.body);
@@ -316,9 +325,11 @@
 			ScriptedServer server({ { answer_to("a", "first") },
 						{ whole.substr(0, n), true } });
 
+			renew_client();
 			EXPECT_EQ("first", call(server, "a").body);
 			EXPECT_EQ(FP_IO, call(server, "b").status)
 				<< whole.substr(0, n);
+			EXPECT_EQ(1, server.last_used);
 		}
 	}
 }
@@ -341,9 +352,11 @@
 				  { bytes.substr(0, n) + answer_to("b"), true },
 				  { answer_to("c") } });
 
+			renew_client();
 			EXPECT_EQ("first", call(server, "a").body);
 			EXPECT_EQ(FP_IO, call(server, "b").status)
 				<< bytes.substr(0, n);
+			EXPECT_EQ(1, server.last_used);
 			EXPECT_EQ("mine", call(server, "c").body);
 		}
 	}
