--- a/src/state/body_parts.c
+++ b/src/state/body_parts.c
@@ -26,7 +26,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 
 struct body_out {
 	void *link;
@@ -36,14 +35,12 @@
 	size_t sent;
 	size_t credit; /* at least sent, at most bytes */
 	int64_t progress_us; /* time of the last credit */
-	TAILQ_ENTRY(body_out) at;
+	struct body_out *next;
 };
 
-TAILQ_HEAD(body_out_list, body_out);
-
 struct fp_body_out {
 	struct fp_body_sink sink;
-	struct body_out_list list; /* whose turn is next comes first */
+	struct body_out *first; /* list; whose turn is next comes first */
 };
 
 struct body_in {
@@ -56,13 +53,11 @@
 	size_t credit; /* at least taken, at most bytes */
 	int64_t deadline_us;
 	int64_t progress_us; /* time of the last part */
-	TAILQ_ENTRY(body_in) at;
+	struct body_in *next;
 };
 
-TAILQ_HEAD(body_in_list, body_in);
-
 struct fp_body_in {
-	struct body_in_list list;
+	struct body_in *first; /* list */
 };
 
 static size_t least(size_t a, size_t b)
@@ -76,38 +71,53 @@
 {
 	struct fp_body_out *o = calloc(1, sizeof(*o));
 
-	if (!o)
-		return NULL;
-	o->sink = *sink;
-	TAILQ_INIT(&o->list);
+	if (o)
+		o->sink = *sink;
 	return o;
 }
 
-static void body_out_free(struct fp_body_out *o, struct body_out *b)
-{
-	TAILQ_REMOVE(&o->list, b, at);
-	free(b);
-}
-
 void fp_body_out_end(struct fp_body_out *o)
 {
 	struct body_out *b;
+	struct body_out *next;
 
 	if (!o)
 		return;
-	while ((b = TAILQ_FIRST(&o->list)))
-		body_out_free(o, b);
+	for (b = o->first; b; b = next) {
+		next = b->next;
+		free(b);
+	}
 	free(o);
 }
 
 static struct body_out *find_out(const struct fp_body_out *o, uint64_t id)
 {
-	struct body_out *b;
+	struct body_out *b = o->first;
 
-	TAILQ_FOREACH(b, &o->list, at)
-	if (b->id == id)
-		return b;
-	return NULL;
+	while (b && b->id != id)
+		b = b->next;
+	return b;
+}
+
+/* Takes a body out of the list. */
+static void unlink_out(struct fp_body_out *o, struct body_out *b)
+{
+	struct body_out **at = &o->first;
+
+	while (*at != b)
+		at = &(*at)->next;
+	*at = b->next;
+	b->next = NULL;
+}
+
+/* Puts a body at the end of the list. */
+static void append_out(struct fp_body_out *o, struct body_out *b)
+{
+	struct body_out **at = &o->first;
+
+	while (*at)
+		at = &(*at)->next;
+	*at = b;
 }
 
 void fp_body_out_add(struct fp_body_out *o, void *link, uint64_t id,
@@ -122,7 +132,7 @@
 	b->body = body;
 	b->bytes = bytes;
 	b->progress_us = now_us;
-	TAILQ_INSERT_TAIL(&o->list, b, at);
+	append_out(o, b);
 }
 
 void fp_body_out_credit(struct fp_body_out *o, const void *link, uint64_t id,
@@ -141,15 +151,19 @@
 	return least(FP_BODY_PART_BYTES, b->bytes - b->sent);
 }
 
+static bool has_credit(const struct body_out *b)
+{
+	return b->credit - b->sent >= next_part_bytes(b);
+}
+
 static struct body_out *next_to_send(const struct fp_body_out *o,
 				     const void *link)
 {
-	struct body_out *b;
+	struct body_out *b = o->first;
 
-	TAILQ_FOREACH(b, &o->list, at)
-	if (b->link == link && b->credit - b->sent >= next_part_bytes(b))
-		return b;
-	return NULL;
+	while (b && (b->link != link || !has_credit(b)))
+		b = b->next;
+	return b;
 }
 
 void fp_body_out_pump(struct fp_body_out *o, void *link)
@@ -163,12 +177,11 @@
 				  b->body + b->sent, n))
 			return;
 		b->sent += n;
-		if (b->sent == b->bytes) {
-			body_out_free(o, b);
-			continue;
-		}
-		TAILQ_REMOVE(&o->list, b, at);
-		TAILQ_INSERT_TAIL(&o->list, b, at);
+		unlink_out(o, b);
+		if (b->sent < b->bytes)
+			append_out(o, b);
+		else
+			free(b);
 	}
 }
 
@@ -183,19 +196,18 @@
 
 	if (!b)
 		return false;
-	body_out_free(o, b);
+	unlink_out(o, b);
+	free(b);
 	return true;
 }
 
 bool fp_body_out_stalled(const struct fp_body_out *o, int64_t now_us,
 			 uint64_t *id)
 {
-	struct body_out *b;
+	const struct body_out *b;
 
-	TAILQ_FOREACH(b, &o->list, at)
-	{
-		if (b->credit - b->sent >= next_part_bytes(b) ||
-		    now_us - b->progress_us < FP_BODY_STALL_US)
+	for (b = o->first; b; b = b->next) {
+		if (has_credit(b) || now_us - b->progress_us < FP_BODY_STALL_US)
 			continue;
 		*id = b->id;
 		return true;
@@ -207,39 +219,31 @@
 
 struct fp_body_in *fp_body_in_init(void)
 {
-	struct fp_body_in *in = calloc(1, sizeof(*in));
-
-	if (in)
-		TAILQ_INIT(&in->list);
-	return in;
-}
-
-static void body_in_free(struct fp_body_in *in, struct body_in *b)
-{
-	TAILQ_REMOVE(&in->list, b, at);
-	free(b);
+	return calloc(1, sizeof(struct fp_body_in));
 }
 
 void fp_body_in_end(struct fp_body_in *in)
 {
 	struct body_in *b;
+	struct body_in *next;
 
 	if (!in)
 		return;
-	while ((b = TAILQ_FIRST(&in->list)))
-		body_in_free(in, b);
+	for (b = in->first; b; b = next) {
+		next = b->next;
+		free(b);
+	}
 	free(in);
 }
 
 static struct body_in *find_in(const struct fp_body_in *in, const void *link,
 			       uint64_t id)
 {
-	struct body_in *b;
+	struct body_in *b = in->first;
 
-	TAILQ_FOREACH(b, &in->list, at)
-	if (b->link == link && b->id == id)
-		return b;
-	return NULL;
+	while (b && (b->link != link || b->id != id))
+		b = b->next;
+	return b;
 }
 
 enum fp_status fp_body_in_add(struct fp_body_in *in, void *owner,
@@ -262,7 +266,8 @@
 	b->credit = least(FP_BODY_WINDOW_BYTES, bytes);
 	b->deadline_us = deadline_us;
 	b->progress_us = now_us;
-	TAILQ_INSERT_TAIL(&in->list, b, at);
+	b->next = in->first;
+	in->first = b;
 	*credit = b->credit;
 	return FP_OK;
 }
@@ -296,7 +301,7 @@
 	b->taken += bytes;
 	b->progress_us = now_us;
 	if (b->taken == b->bytes) {
-		body_in_free(in, b);
+		fp_body_in_drop(in, *owner);
 		return FP_BODY_WHOLE;
 	}
 	*credit = extend_credit(b);
@@ -305,24 +310,24 @@
 
 void fp_body_in_drop(struct fp_body_in *in, const void *owner)
 {
+	struct body_in **at = &in->first;
 	struct body_in *b;
 
-	TAILQ_FOREACH(b, &in->list, at)
-	{
-		if (b->owner != owner)
-			continue;
-		body_in_free(in, b);
+	while (*at && (*at)->owner != owner)
+		at = &(*at)->next;
+	b = *at;
+	if (!b)
 		return;
-	}
+	*at = b->next;
+	free(b);
 }
 
 void *fp_body_in_overdue(const struct fp_body_in *in, int64_t now_us,
 			 enum fp_reason *why)
 {
-	struct body_in *b;
+	const struct body_in *b;
 
-	TAILQ_FOREACH(b, &in->list, at)
-	{
+	for (b = in->first; b; b = b->next) {
 		if (now_us >= b->deadline_us) {
 			*why = FP_REASON_DEADLINE;
 			return b->owner;
--- a/test/test_peer.cc
+++ b/test/test_peer.cc
@@ -118,6 +118,23 @@
 	}
 };
 
+TEST_F(Peer, ALinkSaysWhenItHasRoomAgain)
+{
+	open(a, { 1 }, 11);
+	open(b, { 1 }, 22);
+	struct fp_peer_link *l = fp_peer_link_to(a.net, b.addr.c_str());
+	std::string large(900000, 'z');
+
+	ASSERT_NE(nullptr, l);
+	EXPECT_FALSE(fp_peer_has_room(l)); /* not up */
+	ASSERT_TRUE(run_until([&] { return fp_peer_is_up(l); }));
+	EXPECT_TRUE(fp_peer_has_room(l));
+	while (fp_peer_has_room(l))
+		ASSERT_EQ(FP_OK, fp_peer_send(l, large.data(), large.size()));
+	a.rooms = 0;
+	EXPECT_TRUE(run_until([&] { return a.rooms > 0; }));
+}
+
 TEST_F(Peer, FramesArriveCompleteAndInOrderBothWays)
 {
 	open(a, { 1 }, 11);
