--- a/src/node/call.c
+++ b/src/node/call.c
@@ -316,21 +316,21 @@
 
 /*
  * Whether a call that was refused for load may be sent to another worker. A
- * nested call needs one that is known to have room: its tree has begun, and its
+ * nested call needs one that is known to have free capacity: its tree has begun, and its
  * next calls need the capacity that a useless attempt would take.
  */
-static bool find_room(struct call *c)
+static bool find_retry_worker(struct call *c)
 {
 	struct fp_traffic *t = c->t;
 
 	if (!c->msg.nested || !t->settings->tree_admission ||
 	    t->settings->overload_off ||
-	    fp_balancer_pick_with_room(t->balancer, c->msg.service, c->msg.rank,
-				       c->tried, c->n_tried, traffic_random(),
-				       fp_loop_now_us(t->loop),
-				       &c->with_room) == FP_OK)
+	    fp_balancer_pick_retry(t->balancer, c->msg.service, c->msg.rank,
+				   c->tried, c->n_tried, traffic_random(),
+				   fp_loop_now_us(t->loop),
+				   &c->retry_worker) == FP_OK)
 		return true;
-	fp_counter_add(t->metrics.no_room, 1);
+	fp_counter_add(t->metrics.no_capacity, 1);
 	return false;
 }
 
@@ -349,7 +349,7 @@
 		return may_retry_unknown(c) && spend_attempt(c);
 	if (why == FP_REASON_DEADLINE)
 		return false;
-	if (why == FP_REASON_OVERLOADED && !find_room(c))
+	if (why == FP_REASON_OVERLOADED && !find_retry_worker(c))
 		return false;
 	if (!reached)
 		return true;
@@ -446,9 +446,9 @@
 static const struct fp_member *pick_worker(struct call *c, int64_t now_us)
 {
 	struct fp_traffic *t = c->t;
-	uint64_t id = c->with_room;
+	uint64_t id = c->retry_worker;
 
-	c->with_room = 0;
+	c->retry_worker = 0;
 	if (id && traffic_member(t, id))
 		return traffic_member(t, id);
 	if (fp_balancer_pick(t->balancer, c->msg.service, c->tried, c->n_tried,
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -30,7 +30,7 @@
 	bool first_counted; /* counted as a first send of the retry budget */
 	uint64_t corr; /* correlation id of the attempt in flight; 0: none */
 	uint64_t worker; /* id of the node of the last attempt */
-	uint64_t with_room; /* id that the next attempt goes to; 0: any */
+	uint64_t retry_worker; /* id that the next attempt goes to; 0: any */
 	struct fp_peer_link *link; /* NULL: the worker of this node */
 	bool awaits_link; /* the attempt is not sent until its link is up */
 	int64_t sent_us; /* start of the last attempt */
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -291,8 +291,8 @@
 	t->metrics.bad_messages =
 		fp_counter_get(cs, "fulmar_bad_messages_total", "");
 	t->metrics.retries = fp_counter_get(cs, "fulmar_retries_total", "");
-	t->metrics.no_room =
-		fp_counter_get(cs, "fulmar_retries_without_room_total", "");
+	t->metrics.no_capacity =
+		fp_counter_get(cs, "fulmar_retries_without_capacity_total", "");
 	t->metrics.executions =
 		fp_counter_get(cs, "fulmar_executions_total", "");
 	t->metrics.in_flight = fp_counter_get(cs, "fulmar_calls_in_flight", "");
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -57,8 +57,8 @@
 	struct fp_counter *late_replies; /* of calls that have ended */
 	struct fp_counter *bad_messages; /* cannot be decoded */
 	struct fp_counter *retries; /* attempts after the first */
-	/* nested calls not sent again for load: no worker had room */
-	struct fp_counter *no_room;
+	/* nested calls not sent again for load: no worker had capacity */
+	struct fp_counter *no_capacity;
 	struct fp_counter *executions; /* sent to the backend server */
 	struct fp_counter *in_flight; /* calls without a response yet */
 	struct fp_counter *config_revision; /* in force here */
--- a/src/state/balancer.h
+++ b/src/state/balancer.h
@@ -70,19 +70,19 @@
 				uint64_t draw, int64_t now_us, uint64_t *id);
 
 /**
- * Picks a worker that is known to have room for a call that another worker
+ * Picks a worker that is known to have free capacity for a call that another worker
  * refused for load.
  *
  * @param rank   shed rank of the call
  * @param avoid  ids that must not be picked (already tried)
  * @param draw   uniform random number
- * @return FP_OK with *id set, FP_NOT_FOUND when no worker is known to have room
+ * @return FP_OK with *id set, FP_NOT_FOUND when no worker is known to have free capacity
  */
-enum fp_status fp_balancer_pick_with_room(struct fp_balancer *b,
-					  const char *service, uint8_t rank,
-					  const uint64_t *avoid,
-					  uint32_t n_avoid, uint64_t draw,
-					  int64_t now_us, uint64_t *id);
+enum fp_status fp_balancer_pick_retry(struct fp_balancer *b,
+				      const char *service, uint8_t rank,
+				      const uint64_t *avoid, uint32_t n_avoid,
+				      uint64_t draw, int64_t now_us,
+				      uint64_t *id);
 
 /** Records that a call was sent to a worker. */
 void fp_balancer_call_sent(struct fp_balancer *b, uint64_t id);
--- a/src/state/tree_admission.c
+++ b/src/state/tree_admission.c
@@ -15,11 +15,11 @@
  * delay of the trees causes no oscillation: a lower fraction lowers "present"
  * and the occupancy alike, and the demand stays. A queue does integrate: it
  * holds what came in excess over some time. It therefore counts by QUEUE_PART
- * only; counted in full, a short burst emptied the service a second later.
+ * only; counted in full, it would leave the service idle after a short burst.
  *
  * The trees that are admitted now arrive at the service later. While the demand
  * grows they meet a higher one, so a growing demand counts as what it becomes
- * within LEAD of a tree's duration, by the trend of its logarithm. A falling one
+ * within HORIZON of a tree's duration, by the trend of its logarithm. A falling one
  * counts as it is: the trees that are there were admitted before it fell. A
  * demand below the target needs a growth above GROWTH_MIN, or chance would
  * refuse trees while there is capacity.
@@ -51,8 +51,8 @@
 #define DURATION_WEIGHT	   32 /* smoothing of the duration, in trees */
 #define DURATION_MAX_S	   4.0 /* a longer one counts as this */
 #define TREND_S		   0.5 /* smoothing of the demand for its trend */
-#define LEAD		   0.8 /* how far it is led, in durations of a tree */
-#define LEAD_MAX	   0.5 /* largest lead of its logarithm */
+#define HORIZON		   0.8 /* of the prediction, in durations of a tree */
+#define GROWTH_MAX	   0.5 /* largest predicted growth, logarithm */
 #define GROWTH_MIN	   0.2 /* ignored below the target, logarithm a second */
 #define RELEASE_S	   1.0 /* time to admit everything without reports */
 #define ADMIT_MIN	   0.02 /* always admitted, to see the demand */
@@ -114,8 +114,8 @@
 }
 
 /* Demand that the trees admitted now will meet. */
-static double lead(struct fp_tree_admission *r, double all, double tree_s,
-		   double step_s)
+static double predict(struct fp_tree_admission *r, double all, double tree_s,
+		      double step_s)
 {
 	double growth;
 
@@ -125,7 +125,7 @@
 	growth = log(all / r->slow_demand) / TREND_S;
 	if (all < USED_TARGET)
 		growth -= GROWTH_MIN;
-	return all * exp(fmin(LEAD_MAX, fmax(0, growth * LEAD * tree_s)));
+	return all * exp(fmin(GROWTH_MAX, fmax(0, growth * HORIZON * tree_s)));
 }
 
 /* Gives the capacity to the ranks in order and moves the fractions there; all:
@@ -175,7 +175,7 @@
 	if (used < 0 || !fp_tree_admission_applies(r))
 		release(r, step_s);
 	else
-		divide(r, lead(r, demand(r, used), tree_s, step_s), step_s);
+		divide(r, predict(r, demand(r, used), tree_s, step_s), step_s);
 	for (i = 0; i < FP_SHED_RANK_COUNT; i++)
 		r->offered[i] *= kept;
 	r->roots *= kept;
--- a/test/test_balancer_room.cc
+++ b/test/test_balancer_retry.cc
@@ -1,4 +1,4 @@
-/* test_balancer_room.cc - retries of calls that were refused for load */
+/* test_balancer_retry.cc - retries of calls that were refused for load */
 #include <gtest/gtest.h>
 
 #include "uneven_sim.h"
@@ -15,7 +15,7 @@
 static retry_result play(uneven_retry retry, double load, bool in_waves)
 {
 	uneven_sim s(WAY_SLOTS, SEED);
-	const char *const names[] = { "never", "always", "with room" };
+	const char *const names[] = { "never", "always", "where free" };
 	retry_result r;
 
 	s.retry = retry;
@@ -29,28 +29,28 @@
 	}
 	r.served = s.got(2000000, 13000000).served;
 	r.useless = (double)s.n_useless / (double)s.samples.size();
-	printf("seed %ju, %.1f times the room%s, retried %s: served %.4f, "
+	printf("seed %ju, %.1f times the capacity%s, retried %s: served %.4f, "
 	       "useless retries %.3f a call\n",
 	       (uintmax_t)SEED, load, in_waves ? " in waves" : "", names[retry],
 	       r.served, r.useless);
 	return r;
 }
 
-TEST(BalancerRoom, RetriesGoWhereThereIsRoom)
+TEST(BalancerRetry, RetriesGoWhereThereIsRoom)
 {
 	for (bool in_waves : { false, true }) {
 		for (double load : { 1.0, 1.5, 3.0 }) {
 			retry_result never = play(RETRY_NEVER, load, in_waves);
 			retry_result always =
 				play(RETRY_ALWAYS, load, in_waves);
-			retry_result room =
-				play(RETRY_WITH_ROOM, load, in_waves);
+			retry_result free =
+				play(RETRY_WITH_CAPACITY, load, in_waves);
 
-			EXPECT_GE(room.served, always.served - 0.01) << load;
-			EXPECT_GE(room.served, never.served - 0.01) << load;
-			EXPECT_LE(room.useless, always.useless) << load;
+			EXPECT_GE(free.served, always.served - 0.01) << load;
+			EXPECT_GE(free.served, never.served - 0.01) << load;
+			EXPECT_LE(free.useless, always.useless) << load;
 			if (load == 3) {
-				EXPECT_LE(room.useless, always.useless / 2);
+				EXPECT_LE(free.useless, always.useless / 2);
 			}
 		}
 	}
@@ -93,8 +93,8 @@
 	{
 		const uint64_t tried[] = { 1 };
 
-		return fp_balancer_pick_with_room(b, "s", rank, tried, 1, draw,
-						  now_us, &id) == FP_OK;
+		return fp_balancer_pick_retry(b, "s", rank, tried, 1, draw,
+					      now_us, &id) == FP_OK;
 	}
 };
 
--- a/test/test_tree_admission.cc
+++ b/test/test_tree_admission.cc
@@ -587,7 +587,7 @@
 	for (int i = 1; i <= 10; i++)
 		demanded(0.4 + 0.04 * i);
 	EXPECT_LT(fp_tree_admission_admitted(&r, 2), 0.95);
-	/* a fall is not led */
+	/* a fall is not predicted */
 	fp_tree_admission_init(&r);
 	for (int i = 0; i < 40; i++)
 		demanded(0.84 - 0.01 * i);
--- a/test/uneven_sim.h
+++ b/test/uneven_sim.h
@@ -46,7 +46,7 @@
 };
 
 /* What an entry does with a call that was refused for load. */
-enum uneven_retry { RETRY_NEVER, RETRY_ALWAYS, RETRY_WITH_ROOM };
+enum uneven_retry { RETRY_NEVER, RETRY_ALWAYS, RETRY_WITH_CAPACITY };
 
 struct uneven_server {
 	double speed = 1;
@@ -232,11 +232,11 @@
 
 		if (n == max_tried || now_us >= c->deadline_us)
 			return false;
-		if (retry == RETRY_WITH_ROOM)
-			return fp_balancer_pick_with_room(
-				       b, "s", FP_CLASS_NORMAL, tried, n,
-				       random.next(), now_us,
-				       &c->member) == FP_OK;
+		if (retry == RETRY_WITH_CAPACITY)
+			return fp_balancer_pick_retry(b, "s", FP_CLASS_NORMAL,
+						      tried, n, random.next(),
+						      now_us,
+						      &c->member) == FP_OK;
 		return fp_balancer_pick(b, "s", tried, n, random.next(), now_us,
 					&c->member) == FP_OK;
 	}
