A fleet that does not start ends its test

The fixture now ends the case where the fleet does not start: with a store that ends at once, RateFaults.OwnersPaused fails cleanly, and the cases after it run.

--- a/test/e2e_fleet.h
+++ b/test/e2e_fleet.h
@@ -12,6 +12,7 @@
 #include <cstring>
 #include <functional>
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -119,12 +120,21 @@
 						       "dar-c", "dar-d" };
 
 		f = fleet_init();
-		ASSERT_NE(nullptr, f);
-		ASSERT_TRUE(fleet_add_store(f));
+		require(f, "the fleet's directory");
+		require(fleet_add_store(f), "the store");
 		for (size_t i = 0; i < services.size(); i++)
-			ASSERT_NE(nullptr,
-				  fleet_add_vm(f, services[i].c_str(),
-					       domains[i % 4], "tz", opts));
+			require(fleet_add_vm(f, services[i].c_str(),
+					     domains[i % 4], "tz", opts),
+				"a VM");
+	}
+
+	/* Ends the test, whichever function it is in: without its fleet the rest
+	 * would fail for other reasons, or crash. */
+	static void require(bool started, const char *what)
+	{
+		if (!started)
+			throw std::runtime_error(std::string(what) +
+						 " did not start");
 	}
 
 	/* Applies declarations and waits until all nodes see all workers. */
