--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -200,6 +200,8 @@
 	       " routes=%u organisations=%u keys=%u",
 	       c->revision, d->revision, c->n_routes, c->n_orgs, c->n_keys);
 	d->revision = c->revision;
+	if (fp_config_has_cold_rate(c))
+		d->has_cold_rate = true;
 	d->ops.config(d->ops.ctx, c);
 	return true;
 }
@@ -219,22 +221,37 @@
 	t->item_revision = it->revision;
 }
 
+/* Returns the configuration record in an answer; NULL: there is none. */
+static const struct fp_registry_item *
+find_config(const struct fp_directory *d, const struct fp_registry_result *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->n_items; i++)
+		if (strcmp(r->items[i].key, d->cfg.dialect->config_key) == 0)
+			return &r->items[i];
+	return NULL;
+}
+
 static void on_config(void *ctx, const struct fp_registry_result *r)
 {
 	struct fp_directory *d = ctx;
+	const struct fp_registry_item *it;
 	int64_t now_us = fp_mono_us(d->cfg.clock);
 	int64_t next_us = d->config_requested_us + CONFIG_PERIOD_US;
 
 	if (d->closed)
 		return;
-	if (r->status == FP_NOT_FOUND && !d->config_item_revision) {
+	it = r->status == FP_OK ? find_config(d, r) : NULL;
+	if (!it && (r->status == FP_NOT_FOUND || r->status == FP_OK) &&
+	    !d->config_item_revision) {
 		directory_schedule(
 			&d->config,
 			NO_CONFIG_US / 2 +
 				randombytes_uniform(NO_CONFIG_US / 2));
 		return;
 	}
-	if (r->status != FP_OK || !r->n_items) {
+	if (!it) {
 		directory_task_failed(&d->config, r->status);
 		directory_own_read_failed(d);
 		directory_answer_followers(d, FP_UNAVAILABLE);
@@ -243,13 +260,15 @@
 	d->n_delegates_failed = 0;
 	d->config_read_us = d->config_requested_us;
 	directory_task_succeeded(&d->config);
-	if (r->items[0].revision != d->config_item_revision)
-		d->config_valid = directory_apply_config(
-			d, (const char *)r->items[0].value,
-			r->items[0].value_bytes, r->items[0].revision);
-	if (r->items[0].revision != d->read_text.item_revision)
-		keep_text(d, &r->items[0]);
-	d->config_item_revision = r->items[0].revision;
+	if (d->config_listed)
+		directory_read_evacuation(d, r);
+	if (it->revision != d->config_item_revision)
+		d->config_valid =
+			directory_apply_config(d, (const char *)it->value,
+					       it->value_bytes, it->revision);
+	if (it->revision != d->read_text.item_revision)
+		keep_text(d, it);
+	d->config_item_revision = it->revision;
 	/* A record that cannot be decoded may withdraw a key, so the old
 	 * configuration must not be confirmed as fresh. */
 	if (d->config_valid)
@@ -258,6 +277,15 @@
 	directory_schedule(&d->config, next_us > now_us ? next_us - now_us : 0);
 }
 
+/* Failure domains are evacuated only in deployments whose services have a cold
+ * rate, since their workers come back cold. Elsewhere one key is read, except
+ * by a process that does not know the configuration yet. */
+static bool reads_evacuations(const struct fp_directory *d)
+{
+	return (d->has_cold_rate || !d->revision) &&
+	       d->cfg.dialect->evacuation_prefix;
+}
+
 static void step_config(struct fp_directory *d)
 {
 	if (d->delegate_pending)
@@ -269,6 +297,13 @@
 	d->newer_reported = false;
 	d->config_requested_us = fp_mono_us(d->cfg.clock);
 	d->calls[FP_DIRECTORY_CONFIG]++;
+	d->config_listed = reads_evacuations(d);
+	if (d->config_listed) {
+		d->cfg.registry->ops->list(d->cfg.registry,
+					   d->cfg.dialect->operator_prefix,
+					   on_config, d);
+		return;
+	}
 	d->cfg.registry->ops->get(d->cfg.registry, d->cfg.dialect->config_key,
 				  false, on_config, d);
 }
@@ -307,6 +342,12 @@
 	return d->revision;
 }
 
+const struct fp_evacuation *
+fp_directory_evacuation(const struct fp_directory *d)
+{
+	return &d->evacuation;
+}
+
 void fp_directory_close(struct fp_directory *d)
 {
 	if (!d)
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -53,6 +53,8 @@
 	/** The record of an earlier process of this node has the end of its
 	 *  worker; called before the first members. */
 	void (*worker_ended)(void *ctx, const struct fp_worker_end *e);
+	/** Other failure domains are evacuated than before; may be NULL. */
+	void (*evacuation)(void *ctx, const struct fp_evacuation *e);
 	/** Sends a message to a member; delivery is not guaranteed. */
 	void (*send)(void *ctx, const char *addr,
 		     const struct fp_msg_shared *m);
@@ -96,6 +98,10 @@
 /** Revision of the configuration in force; 0: none. */
 uint64_t fp_directory_revision(const struct fp_directory *d);
 
+/** The failure domains that are evacuated; valid until the directory ends. */
+const struct fp_evacuation *
+fp_directory_evacuation(const struct fp_directory *d);
+
 /** Calls to the store, by cause. */
 enum fp_directory_call {
 	FP_DIRECTORY_SECRET, /**< reads and creation of the secret */
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -72,6 +72,9 @@
 	bool was_removed; /* others may have removed this node before its
 			  * last write */
 	uint64_t revision; /* of the configuration in force */
+	bool has_cold_rate; /* of a service of a configuration so far */
+	bool config_listed; /* the open read lists all keys of operators */
+	struct fp_evacuation evacuation; /* revision 0: never read */
 	uint64_t config_item_revision; /* store revision of the last read */
 	int64_t config_requested_us; /* last request to store or delegate */
 	int64_t config_read_us; /* request of the last read that the store
@@ -118,6 +121,17 @@
 /** Frees the text of a record. */
 void directory_text_clear(struct directory_text *t);
 
+/* --- evacuation.c --- */
+
+/** Takes the evacuated domains from a listing of the operators' keys. */
+void directory_read_evacuation(struct fp_directory *d,
+			       const struct fp_registry_result *r);
+/** Applies a set unless a newer one is known; source and the age of the read
+ *  are for the log. */
+void directory_apply_evacuation(struct fp_directory *d,
+				const struct fp_evacuation *e,
+				const char *source, int64_t age_us);
+
 /* --- directory.c: tasks --- */
 
 /** Schedules a task's next step. */
--- a/src/coordination/directory_relay.c
+++ b/src/coordination/directory_relay.c
@@ -243,6 +243,7 @@
 	m.confirm_response.members_complete =
 		has_all_changes(d, members_revision);
 	m.confirm_response.members_revision = d->members_revision;
+	m.confirm_response.evacuation = d->evacuation;
 	d->ops.send(d->ops.ctx, addr, &m);
 }
 
@@ -458,6 +459,8 @@
 	}
 	d->delegate_pending = false;
 	d->n_delegates_failed = 0;
+	directory_apply_evacuation(d, &response->evacuation, "delegate",
+				   response->age_us);
 	check_feed(d, response);
 	d->newer_reported = response->item_revision != d->config_item_revision;
 	if (!d->newer_reported)
--- a/src/node/execution.c
+++ b/src/node/execution.c
@@ -123,6 +123,7 @@
 		return;
 	r->corr = e->msg.corr;
 	fp_admission_read_load(t->admission, &r->admission_load);
+	cold_limit_load(t, &r->admission_load);
 	put_service_loads(e, r);
 	r->attempts_unused = e->attempt_budget.left;
 	if (!e->link) {
@@ -297,7 +298,7 @@
 /* Whether the worker may get an execution that starts now. */
 static bool may_run(const struct execution *e)
 {
-	return e->t->worker.serving &&
+	return e->t->worker.serving && !e->t->evacuated &&
 	       drain_can_finish_execution(e->t, e->msg.route, e->deadline_us);
 }
 
@@ -379,7 +380,7 @@
 
 static void on_start(void *ctx, uint64_t id, int64_t now_us)
 {
-	(void)now_us;
+	cold_note_start(ctx, now_us);
 	add_decision(ctx, id, FP_REASON_NONE);
 }
 
@@ -443,6 +444,7 @@
 	struct fp_admission_params p = admission_params(t);
 	struct fp_admission_sink sink = { .start = on_start,
 					  .refuse = on_refuse,
+					  .start_wait_us = cold_start_wait_us,
 					  .ctx = t };
 
 	t->executions = apr_hash_make(t->pool);
@@ -563,7 +565,8 @@
 	execution_apply_decisions(t);
 }
 
-/* Returns an execution that waits and cannot be finished any more, or NULL. */
+/* Returns an execution that waits and cannot be finished any more, or whose
+ * domain is evacuated, or NULL. */
 static struct execution *next_unfinishable(struct fp_traffic *t)
 {
 	apr_hash_index_t *hi = apr_hash_first(NULL, t->executions);
@@ -571,8 +574,9 @@
 
 	for (; hi; hi = apr_hash_next(hi)) {
 		e = apr_hash_this_val(hi);
-		if (!e->running && !drain_can_finish_execution(t, e->msg.route,
-							       e->deadline_us))
+		if (!e->running &&
+		    (t->evacuated || !drain_can_finish_execution(
+					     t, e->msg.route, e->deadline_us)))
 			return e;
 	}
 	return NULL;
@@ -590,6 +594,11 @@
 	}
 }
 
+void execution_refuse_evacuated(struct fp_traffic *t)
+{
+	execution_refuse_unfinishable(t);
+}
+
 static struct execution *find_by_corr(struct fp_traffic *t,
 				      const struct fp_peer_link *link,
 				      uint64_t corr)
--- a/src/node/handover.c
+++ b/src/node/handover.c
@@ -44,6 +44,7 @@
 	fp_config_end(t->config);
 	t->config = c;
 	fp_counter_set(t->metrics.config_revision, (int64_t)c->revision);
+	cold_update_config(t);
 	execution_update_params(t);
 	limits_update_config(t);
 	tokens_update_config(t);
@@ -63,10 +64,13 @@
 static void put_worker(struct fp_traffic *t, const struct fp_member *m,
 		       int64_t now_us)
 {
-	struct fp_balancer_worker w = { .id = m->id,
-					.slots = m->slots,
-					.serving = m->serving,
-					.suspected = m->suspected };
+	struct fp_balancer_worker w = {
+		.id = m->id,
+		.slots = m->slots,
+		.serving = m->serving && !fp_evacuation_has(&t->evacuation,
+							    m->failure_domain),
+		.suspected = m->suspected
+	};
 
 	/* warm_ms is wall-clock time: convert it to the loop's clock. */
 	if (m->warm_ms)
@@ -95,6 +99,39 @@
 	tokens_update_members(t);
 }
 
+static void apply_evacuation(void *ctx)
+{
+	struct posted *h = ctx;
+	struct fp_traffic *t = h->t;
+	struct fp_evacuation *e = h->value;
+	bool was = t->evacuated;
+	uint32_t i;
+
+	t->evacuation = *e;
+	free(e);
+	free(h);
+	t->evacuated =
+		fp_evacuation_has(&t->evacuation, t->settings->failure_domain);
+	fp_counter_set(t->evacuated_domains, t->evacuation.n);
+	for (i = 0; t->members && i < t->members->n; i++)
+		put_worker(t, &t->members->members[i], fp_loop_now_us(t->loop));
+	if (t->evacuated && !was)
+		execution_refuse_evacuated(t);
+	else if (was && !t->evacuated)
+		cold_doubt(t, "evacuation_ended");
+}
+
+void fp_traffic_set_evacuation(struct fp_traffic *t,
+			       const struct fp_evacuation *e)
+{
+	struct fp_evacuation *copy = malloc(sizeof(*copy));
+
+	if (!copy)
+		abort();
+	*copy = *e;
+	post(t, apply_evacuation, copy);
+}
+
 /* An encoded message from the primary of a slice. */
 struct posted_bytes {
 	size_t bytes;
--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -99,6 +99,13 @@
 	fp_traffic_inherit_worker(h->traffic, e);
 }
 
+static void on_evacuation(void *ctx, const struct fp_evacuation *e)
+{
+	struct fp_hosted *h = ctx;
+
+	fp_traffic_set_evacuation(h->traffic, e);
+}
+
 static void on_send(void *ctx, const char *addr, const struct fp_msg_shared *m)
 {
 	struct fp_hosted *h = ctx;
@@ -160,15 +167,21 @@
 {
 	static const struct fp_http_header type = { "Content-Type",
 						    "application/json" };
-	char body[256];
-	int n = snprintf(body, sizeof(body),
-			 "{\"node\": \"%s\", \"service\": \"%s\", "
-			 "\"config_revision\": %" PRIu64 ", \"members\": %u, "
-			 "\"whole\": %s}\n",
-			 h->settings->name, h->settings->service,
-			 fp_directory_revision(h->directory), h->n_members,
-			 fp_directory_is_ready(h->directory) ? "true" :
-							       "false");
+	const struct fp_evacuation *e = fp_directory_evacuation(h->directory);
+	char evacuated[FP_EVACUATION_BYTES];
+	char body[256 + FP_EVACUATION_BYTES];
+	int n;
+
+	fp_evacuation_format(e, evacuated);
+	n = snprintf(body, sizeof(body),
+		     "{\"node\": \"%s\", \"service\": \"%s\", "
+		     "\"config_revision\": %" PRIu64 ", \"members\": %u, "
+		     "\"whole\": %s, \"evacuated\": \"%s\", "
+		     "\"evacuation_revision\": %" PRIu64 "}\n",
+		     h->settings->name, h->settings->service,
+		     fp_directory_revision(h->directory), h->n_members,
+		     fp_directory_is_ready(h->directory) ? "true" : "false",
+		     evacuated, e->revision);
 
 	fp_http_reply(x, 200, &type, 1, body, (size_t)n);
 }
@@ -368,6 +381,7 @@
 					.config_confirmed = on_config_confirmed,
 					.share_validity = on_share_validity,
 					.worker_ended = on_worker_ended,
+					.evacuation = on_evacuation,
 					.send = on_send,
 					.ctx = h };
 	struct fp_directory_config cfg = { .clock = clock,
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -233,6 +233,7 @@
 	int64_t now_us = fp_loop_now_us(t->loop);
 
 	worker_tick(t, now_us);
+	cold_tick(t, now_us);
 	execution_tick(t, now_us);
 	tokens_tick(t);
 	if (t->hosted)
@@ -314,6 +315,7 @@
 	claim_init(t);
 	st = fp_loop_init(clock, &t->loop);
 	if (st == FP_OK) {
+		cold_init(t);
 		execution_init(t);
 		st = fp_http_client_init(t->loop, MAX_IDLE_BACKEND, &t->client);
 	}
@@ -379,6 +381,7 @@
 	owner_end(t);
 	claim_shutdown(t);
 	fp_admission_end(t->admission);
+	cold_end(t);
 	free(t->decisions);
 	fp_run_times_end(t->call_times);
 	fp_run_times_end(t->execution_times);
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -128,6 +128,10 @@
  *  left; copies e. Any thread. */
 void fp_traffic_inherit_worker(struct fp_traffic *t,
 			       const struct fp_worker_end *e);
+/** Sets the failure domains whose workers get no requests; copies e. Any
+ *  thread. */
+void fp_traffic_set_evacuation(struct fp_traffic *t,
+			       const struct fp_evacuation *e);
 /** Replaces the settings after a reload of their [bounds] section; copies s.
  *  Any thread. */
 void fp_traffic_set_settings(struct fp_traffic *t, const struct fp_settings *s);
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -12,6 +12,7 @@
 #include "protocol/msg_call.h"
 #include "state/attempts.h"
 #include "state/balancer.h"
+#include "state/cold_rate.h"
 #include "state/early_shed.h"
 #include "state/load_view.h"
 #include "state/poison.h"
@@ -123,6 +124,14 @@
 	struct fp_clock *clock;
 	struct fp_worker worker;
 	int64_t announced_us; /* arrival of the last announcement */
+	bool announcement_late; /* the next one has failed to come */
+	struct fp_cold_rate *cold; /* pace of the worker's starts */
+	bool worker_cold; /* as last logged */
+	struct fp_counter *cold_starts; /* while the worker was cold */
+	struct fp_counter *cold_left_ms;
+	struct fp_evacuation evacuation;
+	bool evacuated; /* this node's own domain is */
+	struct fp_counter *evacuated_domains;
 	struct fp_timer tick;
 	struct fp_run_times *call_times; /* of calls, from their arrival */
 	struct fp_run_times *execution_times; /* at the worker of this node */
@@ -245,6 +254,25 @@
 
 void slo_init(struct fp_traffic *t);
 
+/* --- cold.c: the pace of a cold worker --- */
+
+void cold_init(struct fp_traffic *t);
+/** Applies the cold rate of this node's service. */
+void cold_update_config(struct fp_traffic *t);
+/** The worker said that it stays cold for left_us; below 0: it did not say. */
+void cold_told(struct fp_traffic *t, int64_t left_us, const char *why);
+/** The worker may be cold without having said so. */
+void cold_doubt(struct fp_traffic *t, const char *why);
+/** Detects missing announcements and the end of a cold time. */
+void cold_tick(struct fp_traffic *t, int64_t now_us);
+/** The callback start_wait_us of struct fp_admission_sink. */
+int64_t cold_start_wait_us(void *ctx, int64_t now_us);
+/** Records a start at the worker. */
+void cold_note_start(struct fp_traffic *t, int64_t now_us);
+/** Reduces an advertised limit to what a cold worker takes now. */
+void cold_limit_load(struct fp_traffic *t, struct fp_admission_load *load);
+void cold_end(struct fp_traffic *t);
+
 /* --- execution.c: calls that run at this node's backend server --- */
 
 /** Accepts an encoded call; link NULL: from this node itself. */
@@ -257,6 +285,9 @@
 /** Refuses the executions that wait for a slot and can no longer be finished
  *  before this process exits. */
 void execution_refuse_unfinishable(struct fp_traffic *t);
+/** Refuses the executions that wait for a slot while this domain is
+ *  evacuated. */
+void execution_refuse_evacuated(struct fp_traffic *t);
 /** Applies the pending admission decisions. */
 void execution_apply_decisions(struct fp_traffic *t);
 /** Ends the execution of an attempt that its entry node cancelled, unless it is
--- a/src/node/worker.c
+++ b/src/node/worker.c
@@ -125,6 +125,15 @@
 	       strcmp(a->address, s->backend_address) == 0;
 }
 
+/* Of a start that is known an announcement without the time says nothing. */
+static void apply_cold(struct fp_traffic *t, const struct fp_announcement *a)
+{
+	if (a->deregister ||
+	    (a->slow_start_us < 0 && !is_other_start(&t->worker, a)))
+		return;
+	cold_told(t, a->slow_start_us, "announced");
+}
+
 static void apply(struct fp_traffic *t, const struct fp_announcement *a)
 {
 	struct fp_worker w = { .port = a->port,
@@ -134,6 +143,7 @@
 			       .sequence = a->sequence };
 
 	t->announced_us = fp_loop_now_us(t->loop);
+	apply_cold(t, a);
 	memcpy(w.instance, a->instance, sizeof(w.instance));
 	if (a->deregister) {
 		w = t->worker;
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -65,6 +65,8 @@
 	 *  misdirected_not_run, otherwise only if "1" with status 503 */
 	const char *not_run;
 	const char *backend_load; /**< from the server: its load */
+	const char *cold_ms; /**< from the server, on health checks: how long it
+			      *   stays cold, milliseconds */
 	const char *cancel_path; /**< posted to the server to cancel a call;
 				  *   NULL: the connection is closed instead */
 	const char *ready_path; /**< path of the readiness probe */
@@ -97,6 +99,10 @@
 	enum fp_status (*config)(const char *text, size_t bytes,
 				 struct fp_config **out);
 	const char *config_key; /**< store key of that record */
+	/** Prefix of all store keys of operators, config_key included. */
+	const char *operator_prefix;
+	/** Prefix of the store keys that name an evacuated failure domain. */
+	const char *evacuation_prefix;
 };
 
 extern const struct fp_dialect fp_dialect_own;
--- a/src/protocol/msg_shared.c
+++ b/src/protocol/msg_shared.c
@@ -382,6 +382,18 @@
 	code_u64(c, &m->confirm_request.members_revision, UINT64_MAX);
 }
 
+static void code_evacuation(struct codec *c, struct fp_evacuation *e)
+{
+	char text[FP_EVACUATION_BYTES] = "";
+
+	if (c->packer)
+		fp_evacuation_format(e, text);
+	code_u64(c, &e->revision, UINT64_MAX);
+	code_text(c, text, sizeof(text), 0);
+	if (!c->packer && !c->failure && fp_evacuation_parse(text, e) != FP_OK)
+		fail(c, "invalid list of failure domains");
+}
+
 static void code_confirm_response(struct codec *c, struct fp_msg_shared *m)
 {
 	code_status(c, &m->confirm_response.status);
@@ -389,6 +401,7 @@
 	code_span(c, &m->confirm_response.age_us);
 	code_bool(c, &m->confirm_response.members_complete);
 	code_u64(c, &m->confirm_response.members_revision, UINT64_MAX);
+	code_evacuation(c, &m->confirm_response.evacuation);
 }
 
 static void code_member_change(struct codec *c, struct fp_msg_shared *m)
@@ -447,7 +460,7 @@
 	[FP_MSG_CONFIRM_REQUEST -
 		FP_MSG_GRANT_REQUEST] = { 1, code_confirm_request },
 	[FP_MSG_CONFIRM_RESPONSE -
-		FP_MSG_GRANT_REQUEST] = { 5, code_confirm_response },
+		FP_MSG_GRANT_REQUEST] = { 7, code_confirm_response },
 	[FP_MSG_MEMBER_CHANGE -
 		FP_MSG_GRANT_REQUEST] = { 5, code_member_change },
 	[FP_MSG_MEMBER_CHANGES_END -
--- a/src/protocol/msg_shared.h
+++ b/src/protocol/msg_shared.h
@@ -10,6 +10,7 @@
 #include "base/status.h"
 #include "state/bucket.h"
 #include "state/claims.h"
+#include "state/evacuation.h"
 #include "state/rate_share.h"
 #include "state/types.h"
 
@@ -152,6 +153,9 @@
 				*   requested members_revision and its own */
 	uint64_t members_revision; /**< store revision up to which the sender
 				    *   has the members */
+	/** the evacuated domains that the sender knows; revision 0: none read,
+	 *  the receiver keeps its own */
+	struct fp_evacuation evacuation;
 };
 
 /** A member record that was written or removed. */
--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -48,6 +48,12 @@
  * docs/DESIGN-load.md compares this with a limit based on the gradient of the
  * run time.
  *
+ * Pace. A backend server may be unable to take requests as fast as its slots
+ * become free, for example while it is cold. The owner then tells how long the
+ * next start has to wait. Requests wait only if that is short, and few of them:
+ * others find a worker elsewhere sooner. The order stays the same, so the most
+ * important requests get what may start.
+ *
  * Cost: the flows with queued requests form a list that is scanned; it is at
  * most as long as the queue, and in practice the number of organisations that
  * are in overload.
@@ -93,6 +99,10 @@
 /* maximum wait in a standing queue, in target delays, or in drain times of the
  * shortest allowed queue, if longer */
 #define STARVED_WAIT_FACTOR 4
+/* while starts are paced, requests that may wait ... */
+#define PACED_QUEUE 2
+/* ... unless the next start is further away than this */
+#define PACED_WAIT_US 200000
 /* requests an idle flow may start ahead of others */
 #define CREDIT_REQUESTS 16
 #define OPEN_WEIGHT	10 /* weight of all requests without organisation */
@@ -361,10 +371,20 @@
 	return n > QUEUE_MIN ? n : QUEUE_MIN;
 }
 
+static int64_t start_wait_us(const struct fp_admission *a, int64_t now_us)
+{
+	if (a->p.off || !a->sink.start_wait_us)
+		return 0;
+	return a->sink.start_wait_us(a->sink.ctx, now_us);
+}
+
 static uint32_t queue_bound(const struct fp_admission *a, int64_t now_us)
 {
+	int64_t wait_us = start_wait_us(a, now_us);
 	int64_t n;
 
+	if (wait_us > 0)
+		return wait_us > PACED_WAIT_US ? 0 : PACED_QUEUE;
 	if (a->p.off || a->run_us == 0)
 		return a->p.max_queued;
 	n = a->p.queue_target_us * a->limit / a->run_us;
@@ -673,6 +693,8 @@
 		w = next_waiter(a);
 		if (!w)
 			break;
+		if (start_wait_us(a, now_us) > 0)
+			break;
 		if (is_too_late(a, w, now_us))
 			refuse(a, w, FP_REASON_DEADLINE);
 		else
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -50,6 +50,12 @@
 	/** Refuses the request: FP_REASON_OVERLOADED or FP_REASON_DEADLINE. */
 	void (*refuse)(void *ctx, uint64_t id, enum fp_reason why);
 	void *ctx;
+	/**
+	 * Time until the backend server may be sent the next request, although
+	 * it has free slots; 0: now. NULL: at any time. While it is not 0 next
+	 * to no requests wait.
+	 */
+	int64_t (*start_wait_us)(void *ctx, int64_t now_us);
 };
 
 /** Makes an empty queue and copies p and sink; NULL when out of memory. */
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -41,6 +41,7 @@
 	c->routes = NULL;
 	c->presets = NULL;
 	c->objectives = NULL;
+	c->services = NULL;
 	c->recent_change_ids = NULL;
 }
 
@@ -53,7 +54,8 @@
 	*n = *c;
 	clear_arrays(n);
 	if (!COPY(orgs) || !COPY(keys) || !COPY(operators) || !COPY(routes) ||
-	    !COPY(presets) || !COPY(objectives) || !COPY(recent_change_ids)) {
+	    !COPY(presets) || !COPY(objectives) || !COPY(services) ||
+	    !COPY(recent_change_ids)) {
 		fp_config_end(n);
 		return NULL;
 	}
@@ -70,6 +72,7 @@
 	free(c->routes);
 	free(c->presets);
 	free(c->objectives);
+	free(c->services);
 	free(c->recent_change_ids);
 	free(c);
 }
@@ -228,3 +231,24 @@
 			return (int)i;
 	return -1;
 }
+
+const struct fp_service *fp_config_find_service(const struct fp_config *c,
+						const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->n_services; i++)
+		if (strcmp(c->services[i].name, name) == 0)
+			return &c->services[i];
+	return NULL;
+}
+
+bool fp_config_has_cold_rate(const struct fp_config *c)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->n_services; i++)
+		if (c->services[i].cold_per_s)
+			return true;
+	return false;
+}
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -39,6 +39,15 @@
 /** Maximum number of services that one route is split over. */
 #define FP_MAX_TRAFFIC_SPLITS 8
 
+/** A service, as far as the configuration tells about its workers. */
+struct fp_service {
+	char name[FP_NAME_BYTES];
+	char health_path[FP_PATH_BYTES]; /**< "": none */
+	uint32_t cold_per_s; /**< requests per second that a cold worker
+			      *   tolerates; 0: not limited */
+	uint32_t cold_ms; /**< time that a worker is cold after its start */
+};
+
 /** Target of a route whose requests are split over several services. */
 struct fp_traffic_split {
 	char service[FP_NAME_BYTES];
@@ -103,6 +112,7 @@
 	struct fp_route *routes;
 	struct fp_preset *presets;
 	struct fp_objective *objectives;
+	struct fp_service *services;
 	char (*recent_change_ids)[FP_NAME_BYTES]; /**< newest first */
 	uint32_t n_orgs;
 	uint32_t n_keys;
@@ -110,6 +120,7 @@
 	uint32_t n_routes;
 	uint32_t n_presets;
 	uint32_t n_objectives;
+	uint32_t n_services;
 	uint32_t n_recent_change_ids;
 	uint32_t active_preset; /**< index into presets */
 	/** A prefix matches if the path begins with it, byte for byte; otherwise
@@ -172,6 +183,13 @@
 /** Finds an organisation by name; returns its index or -1. */
 int fp_config_find_org(const struct fp_config *c, const char *name);
 
+/** Finds a service by name; NULL when the configuration tells nothing of it. */
+const struct fp_service *fp_config_find_service(const struct fp_config *c,
+						const char *name);
+
+/** Whether workers of a service have a cold rate. */
+bool fp_config_has_cold_rate(const struct fp_config *c);
+
 #ifdef __cplusplus
 }
 #endif
