--- a/src/state/admission.c
+++ b/src/state/admission.c
@@ -33,20 +33,7 @@
  * idle worker starts every request that has not expired, since otherwise a
  * wrong estimate could never be corrected.
  *
- * Limit. Multiplicative increase and decrease: the limit grows by 1 /
- * INCREASE_DIVISOR when all of it was in use, and shrinks with the fraction of
- * requests that the backend server refused or could not finish in time. The
- * ceiling is the announced number of slots, reduced by the preset's percentage.
- * A refusal takes no time, so the fraction of refusals can be large while all
- * slots do useful work: refusals do not lower the limit below the number of
- * requests that recently ran at the same time and finished. A refusal by a
- * server that reports free slots is a fault of that server and not counted.
- * Requests that started before the last decrease carry no information about the
- * current limit and are not counted. Neither is a late request that ran about
- * as long as the smallest mean run time of the last seconds: its time was spent
- * in a queue, and a lower limit would only slow that queue down.
- * docs/DESIGN-load.md compares this with a limit based on the gradient of the
- * run time.
+ * Limit. How many requests run at a time is decided in concurrency_limit.c.
  *
  * Pace. A backend server may be unable to take requests as fast as its slots
  * become free, for example while it is cold. The owner then tells how long the
@@ -63,6 +50,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "state/concurrency_limit.h"
+
 #define HASH_SLOTS  4096 /* hash chains of the index by id; a power of two */
 #define MAX_ORGS    65536 /* organisations with their own flow */
 #define KINDS	    2 /* children of started requests, roots */
@@ -72,27 +61,11 @@
 #define UNIT (UINT64_C(1) << 32)
 
 /* Tuning. */
-/* minimum time between changes of the limit */
-#define WINDOW_US	     100000
-#define DEMAND_WINDOW_US     100000 /* window of the refused fractions */
-#define DEMAND_WEIGHT	     3 /* their smoothing, in windows: 0.3 s */
-#define RUN_WEIGHT	     16 /* smoothing of the run time, in samples */
-#define DELAY_WEIGHT	     16 /* smoothing of the queue delay, in samples */
-#define BAD_DIVISOR	     20 /* decrease if over 1 in this many is bad */
-#define DECREASE_MIN_PERCENT 10 /* smallest decrease */
-#define DECREASE_MAX_PERCENT 50 /* largest decrease */
-/* the minimum of the mean run time covers one to two of these periods */
-#define FLOOR_PERIOD_US 5000000
-/* a failure after a run time from this percent of that minimum ... */
-#define FLOOR_MIN_PERCENT 50
-#define FLOOR_MAX_PERCENT 150 /* ... to this is ignored */
-/* a failure after less than the mean run time / this is a refusal */
-#define QUICK_DIVISOR 16
-/* the maximum of the finished concurrency covers one to two of these periods */
-#define FINISHES_PERIOD_US 5000000
-#define INCREASE_DIVISOR   8 /* increase by limit / this, at least 1 */
-#define QUEUE_MIN	   8 /* requests that may always wait ... */
-#define QUEUE_DIVISOR	   2 /* ... or limit / this, if more */
+#define DEMAND_WINDOW_US 100000 /* window of the refused fractions */
+#define DEMAND_WEIGHT	 3 /* their smoothing, in windows: 0.3 s */
+#define DELAY_WEIGHT	 16 /* smoothing of the queue delay, in samples */
+#define QUEUE_MIN	 8 /* requests that may always wait ... */
+#define QUEUE_DIVISOR	 2 /* ... or limit / this, if more */
 /* queue in a burst, relative to the standing one */
 #define BURST_FACTOR 4
 #define BURST_US     1000000 /* longest duration of a burst */
@@ -153,29 +126,11 @@
 	struct rank_state ranks[FP_SHED_RANK_COUNT];
 	struct fifo fifo; /* queue of the baseline */
 	struct waiter *index[HASH_SLOTS];
-	uint32_t limit;
-	uint32_t running;
+	struct fp_concurrency_limit limit;
 	uint32_t queued;
 	bool in_sink; /* a sink callback is running */
-	int64_t run_us; /* smoothed run time, 0: unknown */
-	int64_t deviation_us; /* its smoothed deviation */
-	int64_t floor_us; /* minimum of run_us in the current floor period */
-	int64_t previous_floor_us; /* minimum in the previous one; 0: unknown */
-	int64_t floor_start_us; /* start of the current period */
 	int64_t delay_us; /* smoothed queue delay */
 	int64_t empty_us; /* last time the queue was empty */
-	int64_t window_us; /* start of the limit window */
-	int64_t decreased_us; /* last decrease */
-	uint32_t ended; /* in the limit window */
-	uint32_t bad; /* of these, failures that a lower limit could avoid */
-	uint32_t quick; /* of the bad ones, refusals */
-	int64_t finished_us; /* run time of those that finished in time */
-	/* requests that ran at the same time and finished: maximum of the
-	 * windows of the current period */
-	uint32_t finishes;
-	uint32_t previous_finishes; /* of the previous period */
-	int64_t finishes_start_us; /* start of the current period */
-	uint32_t peak_running; /* maximum of running in the limit window */
 	int64_t demand_window_us; /* start of the demand window */
 	uint32_t started; /* in the demand window */
 };
@@ -352,7 +307,7 @@
 /* Time in which a queue of n requests drains. */
 static int64_t drain_us(const struct fp_admission *a, uint32_t n)
 {
-	return a->run_us * n / a->limit;
+	return a->limit.run_us * n / a->limit.limit;
 }
 
 /* Whether the queue has been non-empty for longer than a burst. */
@@ -366,7 +321,7 @@
  * some requests. */
 static uint32_t min_queue(const struct fp_admission *a)
 {
-	uint32_t n = a->limit / QUEUE_DIVISOR;
+	uint32_t n = a->limit.limit / QUEUE_DIVISOR;
 
 	return n > QUEUE_MIN ? n : QUEUE_MIN;
 }
@@ -385,9 +340,9 @@
 
 	if (wait_us > 0)
 		return wait_us > PACED_WAIT_US ? 0 : PACED_QUEUE;
-	if (a->p.off || a->run_us == 0)
+	if (a->p.off || a->limit.run_us == 0)
 		return a->p.max_queued;
-	n = a->p.queue_target_us * a->limit / a->run_us;
+	n = a->p.queue_target_us * a->limit.limit / a->limit.run_us;
 	if (n < min_queue(a))
 		n = min_queue(a);
 	if (!is_standing(a, now_us))
@@ -409,13 +364,14 @@
 static bool is_too_late(const struct fp_admission *a, const struct waiter *w,
 			int64_t now_us)
 {
-	int64_t need = a->run_us - a->deviation_us;
+	int64_t need = a->limit.run_us - a->limit.deviation_us;
 
 	if (a->p.off)
 		return false;
 	if (now_us >= w->deadline_us)
 		return true;
-	return a->running > 0 && need > 0 && now_us + need > w->deadline_us;
+	return a->limit.running > 0 && need > 0 &&
+	       now_us + need > w->deadline_us;
 }
 
 static void smooth(int64_t *mean, int64_t sample, int64_t weight)
@@ -423,53 +379,6 @@
 	*mean += (sample - *mean) / weight;
 }
 
-static void update_run_time(struct fp_admission *a, int64_t run_us)
-{
-	int64_t error;
-
-	if (run_us < 1)
-		run_us = 1;
-	if (a->run_us == 0) {
-		a->run_us = run_us;
-		a->deviation_us = run_us / 2;
-		return;
-	}
-	error = run_us - a->run_us;
-	smooth(&a->run_us, run_us, RUN_WEIGHT);
-	smooth(&a->deviation_us, error < 0 ? -error : error, RUN_WEIGHT);
-	if (a->run_us < 1)
-		a->run_us = 1;
-}
-
-static int64_t min_run_us(const struct fp_admission *a)
-{
-	if (a->previous_floor_us == 0)
-		return a->floor_us;
-	if (a->floor_us == 0 || a->previous_floor_us < a->floor_us)
-		return a->previous_floor_us;
-	return a->floor_us;
-}
-
-static void update_floor(struct fp_admission *a, int64_t now_us)
-{
-	if (now_us - a->floor_start_us >= FLOOR_PERIOD_US) {
-		a->previous_floor_us = a->floor_us;
-		a->floor_us = 0;
-		a->floor_start_us = now_us;
-	}
-	if (a->floor_us == 0 || a->run_us < a->floor_us)
-		a->floor_us = a->run_us;
-}
-
-/* Whether a lower limit could avoid a failure after that run time. */
-static bool may_be_limit_fault(const struct fp_admission *a, int64_t run_us)
-{
-	int64_t least = min_run_us(a);
-
-	return run_us * 100 < least * FLOOR_MIN_PERCENT ||
-	       run_us * 100 > least * FLOOR_MAX_PERCENT;
-}
-
 /* ---- windows ---- */
 
 static void close_demand_window(struct fp_admission *a)
@@ -509,76 +418,6 @@
 		a->demand_window_us += n * DEMAND_WINDOW_US;
 }
 
-/* Updates the number of requests that run at the same time and finish; that of
- * the window is taken by Little's law. */
-static void update_finishes(struct fp_admission *a, int64_t now_us)
-{
-	int64_t length_us = now_us - a->window_us;
-	uint32_t n = (uint32_t)((a->finished_us + length_us / 2) / length_us);
-
-	if (now_us - a->finishes_start_us >= FINISHES_PERIOD_US) {
-		a->previous_finishes = a->finishes;
-		a->finishes = 0;
-		a->finishes_start_us = now_us;
-	}
-	if (n > a->finishes)
-		a->finishes = n;
-}
-
-static void decrease_limit(struct fp_admission *a, int64_t now_us)
-{
-	uint32_t percent = a->bad * 100 / a->ended;
-	uint32_t least = 1;
-
-	if (a->quick * 2 > a->bad)
-		least = a->finishes > a->previous_finishes ?
-				a->finishes :
-				a->previous_finishes;
-	if (least > a->limit)
-		least = a->limit;
-	if (percent < DECREASE_MIN_PERCENT)
-		percent = DECREASE_MIN_PERCENT;
-	if (percent > DECREASE_MAX_PERCENT)
-		percent = DECREASE_MAX_PERCENT;
-	a->limit = (uint32_t)((uint64_t)a->limit * (100 - percent) / 100);
-	if (a->limit < least)
-		a->limit = least;
-	if (a->limit < 1)
-		a->limit = 1;
-	a->decreased_us = now_us;
-}
-
-static void increase_limit(struct fp_admission *a)
-{
-	uint32_t step = a->limit / INCREASE_DIVISOR;
-	uint32_t top = ceiling(&a->p);
-
-	a->limit += step ? step : 1;
-	if (a->limit > top)
-		a->limit = top;
-}
-
-static void update_limit(struct fp_admission *a, int64_t now_us)
-{
-	int64_t length = a->run_us > WINDOW_US ? a->run_us : WINDOW_US;
-
-	if (now_us - a->window_us < length)
-		return;
-	update_finishes(a, now_us);
-	if (!a->p.off && a->ended) {
-		if (a->bad * BAD_DIVISOR > a->ended)
-			decrease_limit(a, now_us);
-		else if (a->peak_running >= a->limit)
-			increase_limit(a);
-	}
-	a->window_us = now_us;
-	a->ended = 0;
-	a->bad = 0;
-	a->quick = 0;
-	a->finished_us = 0;
-	a->peak_running = a->running;
-}
-
 /* ---- starting and refusing ---- */
 
 static void refuse(struct fp_admission *a, struct waiter *w, enum fp_reason why)
@@ -605,9 +444,7 @@
 	dequeue(a, w);
 	free(w);
 	a->started++;
-	a->running++;
-	if (a->running > a->peak_running)
-		a->peak_running = a->running;
+	fp_concurrency_limit_started(&a->limit);
 	a->sink.start(a->sink.ctx, id, now_us);
 }
 
@@ -677,7 +514,7 @@
 
 static uint32_t concurrency_limit(const struct fp_admission *a)
 {
-	return a->p.off ? (a->p.slots ? a->p.slots : 1) : a->limit;
+	return a->p.off ? (a->p.slots ? a->p.slots : 1) : a->limit.limit;
 }
 
 /* Starts queued requests up to the limit; does nothing if called from a sink
@@ -689,7 +526,7 @@
 	if (a->in_sink)
 		return;
 	a->in_sink = true;
-	while (a->running < concurrency_limit(a)) {
+	while (a->limit.running < concurrency_limit(a)) {
 		w = next_waiter(a);
 		if (!w)
 			break;
@@ -771,8 +608,8 @@
 		return NULL;
 	a->p = *p;
 	a->sink = *sink;
-	a->limit = ceiling(p);
-	a->decreased_us = INT64_MIN;
+	fp_concurrency_limit_init(&a->limit, ceiling(p));
+	a->limit.fixed = p->off;
 	for (i = 0; i < FP_SHED_RANK_COUNT; i++) {
 		/* A flow that was never seen starts with its full credit. */
 		a->ranks[i].vtime = CREDIT_REQUESTS * UNIT;
@@ -803,13 +640,11 @@
 			     const struct fp_admission_params *p,
 			     int64_t now_us)
 {
-	bool at_top = a->limit >= ceiling(&a->p);
-
 	if (p->off != a->p.off)
 		reorder(a, p->off);
 	a->p = *p;
-	if (at_top || a->limit > ceiling(p))
-		a->limit = ceiling(p);
+	a->limit.fixed = p->off;
+	fp_concurrency_limit_set_top(&a->limit, ceiling(p));
 	trim_queue(a, NULL, now_us);
 	start_waiting(a, now_us);
 }
@@ -856,30 +691,13 @@
 		       bool overloaded, int64_t now_us)
 {
 	(void)id;
-	if (a->running > 0)
-		a->running--;
-	if (now_us - run_us >= a->decreased_us) {
-		a->ended++;
-		if (overloaded && may_be_limit_fault(a, run_us)) {
-			a->bad++;
-			a->quick += run_us < a->run_us / QUICK_DIVISOR;
-		}
-	}
-	if (!overloaded)
-		a->finished_us += run_us;
-	/* A failure only shows that the run time is at least this long. */
-	if (!overloaded || run_us > a->run_us)
-		update_run_time(a, run_us);
-	if (!overloaded)
-		update_floor(a, now_us);
-	update_limit(a, now_us);
+	fp_concurrency_limit_ended(&a->limit, run_us, overloaded, now_us);
 	start_waiting(a, now_us);
 }
 
 void fp_admission_not_run(struct fp_admission *a, int64_t now_us)
 {
-	if (a->running > 0)
-		a->running--;
+	fp_concurrency_limit_not_run(&a->limit);
 	start_waiting(a, now_us);
 }
 
@@ -888,7 +706,7 @@
 	int i;
 
 	roll_demand_windows(a, now_us);
-	update_limit(a, now_us);
+	fp_concurrency_limit_update(&a->limit, now_us);
 	if (!a->p.off) {
 		for (i = 0; i < FP_SHED_RANK_COUNT; i++)
 			expire_rank(a, &a->ranks[i], now_us);
@@ -903,7 +721,7 @@
 	int i;
 
 	load->limit = concurrency_limit(a);
-	load->running = a->running;
+	load->running = a->limit.running;
 	load->queued = a->queued;
 	load->delay_us = (uint32_t)a->delay_us;
 	for (i = 0; i < FP_SHED_RANK_COUNT; i++)
