--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -25,6 +25,8 @@
 
 OUTBOUND, INBOUND, READY, CONTROL, APP, STORE, PORT0 = (
     8548, 8543, 8546, 8540, 8547, 8545, 7000)
+MAX_MACHINES = 4
+LONGEST_S = 110  # of a script, which may run for 120 seconds
 
 REASONS = {200: "OK", 404: "Not Found", 410: "Gone",
            412: "Precondition Failed", 421: "Misdirected Request",
@@ -104,6 +106,7 @@
 
     def __init__(self, address, handle):
         self.handle = handle
+        self.open = set()
         self.sock = socket.socket()
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(address)
@@ -120,7 +123,18 @@
             threading.Thread(target=self.serve, args=(conn,),
                              daemon=True).start()
 
+    def end(self):
+        """Ends the server as the exit of its process does."""
+        self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+        for conn in list(self.open):
+            try:
+                conn.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def serve(self, conn):
+        self.open.add(conn)
         f = conn.makefile("rb")
         try:
             while True:
@@ -130,6 +144,7 @@
         except (OSError, ValueError):
             pass
         finally:
+            self.open.discard(conn)
             f.close()
             conn.close()
 
@@ -518,11 +533,16 @@
 
     @staticmethod
     def free_net():
+        """A loopback network whose addresses nobody listens on."""
         for i in range(50):
-            net = f"127.{60 + (os.getpid() + i) % 150}.{1 + os.getpid() // 150 % 250}"
+            net = (f"127.{60 + (os.getpid() + i) % 150}."
+                   f"{1 + os.getpid() // 150 % 250}")
             try:
-                with socket.socket() as s:
-                    s.bind((f"{net}.1", STORE))
+                for host in [1] + list(range(11, 11 + MAX_MACHINES)):
+                    for port in (OUTBOUND, INBOUND, READY, CONTROL, APP, STORE,
+                                 PORT0, PORT0 + 1):
+                        with socket.socket() as s:
+                            s.bind((f"{net}.{host}", port))
                 return net
             except OSError:
                 continue
@@ -636,6 +656,13 @@
 def main(folder, play):
     """play(case) returns the list of violations. Exits with 0, 1 or 2."""
     case = None
+
+    def stop(_sig, _frame):
+        raise CannotRun("stopped, or over its time")
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGALRM, stop)
+    signal.alarm(LONGEST_S)
     try:
         case = Case(folder)
         broken = play(case)
