The end of a worker outlives planned stops of its node

Orders reach the worker up to 6.5 s after the acknowledgement, where 2 s is the bound; those that run when it exits are lost.

Cause: the end of the worker stood in the record of its node, which a planned stop removes with its lease at once, and a pause of over six seconds as well. The acknowledgement did not wait for the write, so a kill right after it, or a store that is away, had the same effect.

Change: the end has a key of its own under a lease of ten minutes that is not renewed, written over the known revision only. A process reads it before it lists the members. A leaving is acknowledged when it is stored; if that takes over 0.8 s it is refused, so that the worker announces it to the next process too.

The fixture's leases now end after the time that they were opened with. The two tests of a kill keep their checks and moved to the suites WorkerEnd and HostedLeft, beside the new ones.

--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -1,7 +1,7 @@
 /*
  * directory.c - membership and configuration from a store with leases
  *
- * Four tasks share the store. Each has at most one call in flight and a timer
+ * Five tasks share the store. Each has at most one call in flight and a timer
  * for its next step:
  *
  *	secret		reads the fleet's secret, or creates it; the first
@@ -15,8 +15,11 @@
  *	own_record	keeps this node's record under a renewed lease
  *	members		lists all records, then watches them; lists them again
  *			when a missing record reaches its timeout
+ *	worker_end	reads the end of this node's worker that an earlier
+ *			process stored, before members begins; stores a new one
  *
- * The last two are in directory_members.c.
+ * own_record and members are in directory_members.c, worker_end is in
+ * directory_worker_end.c.
  *
  * A failed step is retried with exponential backoff and jitter, so that
  * retries do not prolong an overload of the store.
@@ -95,7 +98,8 @@
 /* --- calls to the store, by cause --- */
 
 static const char *const call_names[FP_DIRECTORY_CALL_COUNT] = {
-	"secret", "config", "list", "watch", "record", "lease", "renewal",
+	"secret", "config", "list",    "watch",
+	"record", "lease",  "renewal", "worker_end",
 };
 
 const char *fp_directory_call_name(enum fp_directory_call c)
@@ -325,10 +329,11 @@
 	task_init(d, &d->config, "config", step_config);
 	task_init(d, &d->own_record, "own_record", directory_step_own_record);
 	task_init(d, &d->members, "members", directory_step_members);
+	task_init(d, &d->end.task, "worker_end", directory_step_worker_end);
 	directory_schedule(&d->secret, 0);
 	directory_schedule(&d->config, 0);
 	directory_schedule(&d->own_record, 0);
-	directory_schedule(&d->members, 0);
+	directory_schedule(&d->end.task, 0);
 	return d;
 }
 
@@ -357,6 +362,7 @@
 	fp_timer_cancel(d->loop, &d->config.timer);
 	fp_timer_cancel(d->loop, &d->own_record.timer);
 	fp_timer_cancel(d->loop, &d->members.timer);
+	fp_timer_cancel(d->loop, &d->end.task.timer);
 }
 
 void fp_directory_end(struct fp_directory *d)
--- a/src/coordination/directory.h
+++ b/src/coordination/directory.h
@@ -50,9 +50,12 @@
 	/** Interval in which this node may use its rate shares; called again
 	 *  at each renewal of the lease and when this node leaves. */
 	void (*share_validity)(void *ctx, const struct fp_share_validity *r);
-	/** The record of an earlier process of this node has the end of its
-	 *  worker; called before the first members. */
+	/** An earlier process of this node stored the end of its worker; called
+	 *  before the first members, and later if its write was done late. */
 	void (*worker_ended)(void *ctx, const struct fp_worker_end *e);
+	/** The end that was set last is in the store: a later process of this
+	 *  node will know it. */
+	void (*worker_end_stored)(void *ctx, const struct fp_worker_end *e);
 	/** Other failure domains are evacuated than before; may be NULL. */
 	void (*evacuation)(void *ctx, const struct fp_evacuation *e);
 	/** Sends a message to a member; delivery is not guaranteed. */
@@ -77,8 +80,9 @@
 /** Updates the worker in this node's record; warm_ms as in struct fp_member. */
 void fp_directory_set_worker(struct fp_directory *d, uint32_t slots,
 			     int64_t warm_ms, bool serving);
-/** Sets the last announcement of a worker that accepts no new calls; e->instance
- *  is empty if it serves. It is kept in the record for a later process. */
+/** Sets the last announcement of a worker that is leaving, to be kept for a
+ *  later process, also after fp_directory_leave(); e->instance is empty if the
+ *  worker is not leaving. */
 void fp_directory_set_worker_end(struct fp_directory *d,
 				 const struct fp_worker_end *e);
 
@@ -111,6 +115,7 @@
 	FP_DIRECTORY_RECORD, /**< writes of this node's record */
 	FP_DIRECTORY_LEASE, /**< leases opened or ended */
 	FP_DIRECTORY_RENEWAL, /**< renewals of the lease; they cost less */
+	FP_DIRECTORY_END, /**< reads and writes of the worker's end */
 	FP_DIRECTORY_CALL_COUNT
 };
 
--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -58,20 +58,9 @@
 /* After this time the members of a fleet that starts know each other. */
 #define STARTUP_US	 FP_US_PER_S
 #define MAX_RECORD_BYTES 2048
-/* Latest wall-clock time in a record: the year 2100. */
-#define MAX_WALL_MS INT64_C(4102444800000)
 
 /* --- this node's record --- */
 
-static void encode_worker_end(const struct fp_worker_end *e, json_t *j)
-{
-	json_object_set_new(j, "ended", json_string(e->instance));
-	json_object_set_new(j, "born", json_integer(e->started_ms));
-	json_object_set_new(j, "sequence",
-			    json_integer((json_int_t)e->sequence));
-	json_object_set_new(j, "left", json_boolean(e->deregistered));
-}
-
 static char *encode(const struct fp_member *m)
 {
 	json_t *j = json_pack(
@@ -83,8 +72,6 @@
 		(json_int_t)m->member_since_ms, "serving", m->serving);
 	char *text;
 
-	if (m->worker_end.instance[0])
-		encode_worker_end(&m->worker_end, j);
 	text = json_dumps(j, JSON_COMPACT);
 	json_decref(j);
 	if (!text)
@@ -320,19 +307,6 @@
 	own_record_changed(d);
 }
 
-void fp_directory_set_worker_end(struct fp_directory *d,
-				 const struct fp_worker_end *e)
-{
-	struct fp_worker_end *own = &d->cfg.self.worker_end;
-
-	if (strcmp(own->instance, e->instance) == 0 &&
-	    own->started_ms == e->started_ms && own->sequence == e->sequence &&
-	    own->deregistered == e->deregistered)
-		return;
-	*own = *e;
-	own_record_changed(d);
-}
-
 void fp_directory_leave(struct fp_directory *d)
 {
 	if (d->leaving)
@@ -344,41 +318,12 @@
 
 /* --- the others' records --- */
 
-/* Reads a whole number from min to max; a missing one counts as 0. */
-static bool read_number(const json_t *j, const char *name, json_int_t min,
-			json_int_t max, json_int_t *out)
-{
-	const json_t *n = json_object_get(j, name);
-
-	*out = json_integer_value(n);
-	return (!n || json_is_integer(n)) && *out >= min && *out <= max;
-}
-
 /* Whether links can be opened to that address. */
 static bool is_peer_address(const char *addr)
 {
 	return strchr(addr, '[') == NULL && fp_ip_port_valid(addr);
 }
 
-/* The end of a worker is present as a whole, or not at all. */
-static bool decode_worker_end(const json_t *j, struct fp_worker_end *e)
-{
-	json_int_t started_ms = 0;
-	json_int_t sequence = 0;
-
-	if (!json_object_get(j, "ended"))
-		return true;
-	if (!fp_json_text(j, "ended", e->instance, sizeof(e->instance)) ||
-	    !read_number(j, "born", 0, MAX_WALL_MS, &started_ms) ||
-	    !read_number(j, "sequence", 0, INT64_MAX, &sequence) ||
-	    !json_is_boolean(json_object_get(j, "left")))
-		return false;
-	e->started_ms = started_ms;
-	e->sequence = (uint64_t)sequence;
-	e->deregistered = json_is_true(json_object_get(j, "left"));
-	return true;
-}
-
 /* A record may be of another writer: each field is checked before any of them
  * is used, since the member would be offered requests and tokens. */
 static bool decode(const struct fp_registry_item *it, struct fp_member *m)
@@ -393,10 +338,10 @@
 
 	memset(m, 0, sizeof(*m));
 	ok = it->value_bytes <= MAX_RECORD_BYTES &&
-	     read_number(j, "id", 1, INT64_MAX, &id) &&
-	     read_number(j, "slots", 0, FP_MAX_SLOTS, &slots) &&
-	     read_number(j, "warm_ms", 0, MAX_WALL_MS, &warm_ms) &&
-	     read_number(j, "known_ms", 0, MAX_WALL_MS, &since_ms) &&
+	     fp_json_integer(j, "id", 1, INT64_MAX, &id) &&
+	     fp_json_integer(j, "slots", 0, FP_MAX_SLOTS, &slots) &&
+	     fp_json_integer(j, "warm_ms", 0, FP_MAX_WALL_MS, &warm_ms) &&
+	     fp_json_integer(j, "known_ms", 0, FP_MAX_WALL_MS, &since_ms) &&
 	     json_is_boolean(json_object_get(j, "serving")) &&
 	     fp_json_text(j, "name", m->name, sizeof(m->name)) &&
 	     fp_json_text(j, "peer", m->peer_addr, sizeof(m->peer_addr)) &&
@@ -404,8 +349,7 @@
 	     fp_json_text(j, "domain", m->failure_domain,
 			  sizeof(m->failure_domain)) &&
 	     fp_json_text(j, "region", m->region, sizeof(m->region)) &&
-	     fp_json_text(j, "service", m->service, sizeof(m->service)) &&
-	     decode_worker_end(j, &m->worker_end);
+	     fp_json_text(j, "service", m->service, sizeof(m->service));
 	if (ok) {
 		m->id = (uint64_t)id;
 		m->slots = (uint32_t)slots;
@@ -496,15 +440,11 @@
 		own_record_lost(d, 0, revision, 0);
 }
 
-/* Continues the record of an earlier process of this node: its start, and what
- * it knew of a worker that had left. */
+/* Continues the membership of an earlier process of this node. */
 static void inherit(struct fp_directory *d, const struct fp_member *earlier)
 {
 	d->cfg.self.member_since_ms = earlier->member_since_ms;
 	d->since_inherited = true;
-	if (earlier->worker_end.instance[0] &&
-	    !d->cfg.self.worker_end.instance[0])
-		d->ops.worker_ended(d->ops.ctx, &earlier->worker_end);
 }
 
 /* Applies a record from the store; returns whether the members changed. */
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -4,6 +4,9 @@
 
 #include "coordination/directory.h"
 
+/* Latest wall-clock time in a record: the year 2100. */
+#define FP_MAX_WALL_MS INT64_C(4102444800000)
+
 /* A repeated store operation with its timer and its backoff after failures. */
 struct directory_task {
 	struct fp_directory *d;
@@ -53,6 +56,19 @@
 	uint64_t item_revision;
 };
 
+/* The end of this node's worker, and what stands of it in the store. */
+struct directory_end {
+	struct directory_task task;
+	struct fp_worker_end wanted; /* to be stored; without instance: none */
+	struct fp_worker_end sent; /* by the write in flight */
+	struct fp_worker_end stored; /* without instance: none */
+	uint64_t revision; /* of the record in the store; 0: none */
+	uint64_t lease; /* 0: none */
+	int64_t lease_opened_us;
+	bool was_read; /* the record was read at the start */
+	bool pending; /* a lease is opened or a write in flight */
+};
+
 struct fp_directory {
 	uint32_t calls[FP_DIRECTORY_CALL_COUNT]; /* to the store */
 	struct fp_loop *loop;
@@ -61,7 +77,8 @@
 	struct directory_task secret;
 	struct directory_task config;
 	struct directory_task own_record;
-	struct directory_task members;
+	struct directory_task members; /* starts when end was read */
+	struct directory_end end;
 	bool closed;
 	bool has_secret;
 	bool secret_awaited; /* missing; another node may be creating it */
@@ -178,4 +195,9 @@
 /** Reports that all changes up to a store revision were received. */
 void directory_updates_complete(struct fp_directory *d, uint64_t revision);
 
+/* --- directory_worker_end.c --- */
+
+/** Reads the end of this node's worker at the start; later writes a new one. */
+void directory_step_worker_end(struct fp_directory *d);
+
 #endif
--- a/src/coordination/member.h
+++ b/src/coordination/member.h
@@ -14,9 +14,10 @@
 /** "255.255.255.255:65535" with its NUL. */
 #define FP_MEMBER_ADDR_BYTES 24
 
-/** The last announcement of a worker that accepts no new calls. */
+/** The last announcement of a worker that is leaving or has left. Tells a later
+ *  process of its node which announcements are old. */
 struct fp_worker_end {
-	char instance[FP_NAME_BYTES]; /**< empty: it serves, or is not known */
+	char instance[FP_NAME_BYTES]; /**< empty: it is not leaving */
 	int64_t started_ms; /**< its start, Unix ms; 0: not announced */
 	uint64_t sequence; /**< of the announcement; 0: not announced */
 	bool deregistered; /**< this start does not register again */
@@ -38,8 +39,6 @@
 	/** Its name has been a member since then, without a gap that other
 	 *  members noticed, Unix ms. */
 	int64_t member_since_ms;
-	/** Tells a later process of the node which announcements are old. */
-	struct fp_worker_end worker_end;
 	bool serving; /**< its worker accepts new calls */
 	bool suspected; /**< did not answer probes; may be dead */
 };
--- a/src/node/handover.c
+++ b/src/node/handover.c
@@ -384,7 +384,7 @@
 	post(t, apply_share_validity, copy);
 }
 
-static void apply_worker_end(void *ctx)
+static void apply_inherited_end(void *ctx)
 {
 	struct posted *h = ctx;
 
@@ -393,15 +393,36 @@
 	free(h);
 }
 
-void fp_traffic_inherit_worker(struct fp_traffic *t,
-			       const struct fp_worker_end *e)
+static void apply_stored_end(void *ctx)
+{
+	struct posted *h = ctx;
+
+	worker_end_stored(h->t, h->value);
+	free(h->value);
+	free(h);
+}
+
+static void post_worker_end(struct fp_traffic *t, fp_loop_fn fn,
+			    const struct fp_worker_end *e)
 {
 	struct fp_worker_end *copy = malloc(sizeof(*copy));
 
 	if (!copy)
 		abort();
 	*copy = *e;
-	post(t, apply_worker_end, copy);
+	post(t, fn, copy);
+}
+
+void fp_traffic_inherit_worker(struct fp_traffic *t,
+			       const struct fp_worker_end *e)
+{
+	post_worker_end(t, apply_inherited_end, e);
+}
+
+void fp_traffic_worker_end_stored(struct fp_traffic *t,
+				  const struct fp_worker_end *e)
+{
+	post_worker_end(t, apply_stored_end, e);
 }
 
 void fp_traffic_set_secrets(struct fp_traffic *t, const struct fp_settings *s)
--- a/src/node/hosted.c
+++ b/src/node/hosted.c
@@ -100,6 +100,13 @@
 	fp_traffic_inherit_worker(h->traffic, e);
 }
 
+static void on_worker_end_stored(void *ctx, const struct fp_worker_end *e)
+{
+	struct fp_hosted *h = ctx;
+
+	fp_traffic_worker_end_stored(h->traffic, e);
+}
+
 static void on_evacuation(void *ctx, const struct fp_evacuation *e)
 {
 	struct fp_hosted *h = ctx;
@@ -257,7 +264,7 @@
 					.slots = w->slots,
 					.warm_ms = w->warm_until_ms,
 					.serving = w->serving };
-	if (!w->serving) {
+	if (w->leaving) {
 		memcpy(copy->end.instance, w->instance,
 		       sizeof(copy->end.instance));
 		copy->end.started_ms = w->started_ms;
@@ -397,6 +404,8 @@
 					.config_confirmed = on_config_confirmed,
 					.share_validity = on_share_validity,
 					.worker_ended = on_worker_ended,
+					.worker_end_stored =
+						on_worker_end_stored,
 					.evacuation = on_evacuation,
 					.send = on_send,
 					.ctx = h };
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -48,6 +48,7 @@
 	uint64_t sequence; /**< of the last announcement; 0: not announced */
 	bool serving; /**< announced, not leaving, and its announcements have
 			   not stopped */
+	bool leaving; /**< it announced that it is leaving or has left */
 	bool deregistered; /**< this start does not register again */
 };
 
@@ -124,10 +125,14 @@
 /** Sets the interval in which this node may use its rate shares. Any thread. */
 void fp_traffic_set_share_validity(struct fp_traffic *t,
 				   const struct fp_share_validity *v);
-/** Passes on what an earlier process of this node knew of a worker that had
- *  left; copies e. Any thread. */
+/** Passes on what an earlier process of this node knew of a worker that was
+ *  leaving; copies e. Any thread. */
 void fp_traffic_inherit_worker(struct fp_traffic *t,
 			       const struct fp_worker_end *e);
+/** Reports that a later process of this node will know the end of a worker, so
+ *  that it may be acknowledged; copies e. Any thread. */
+void fp_traffic_worker_end_stored(struct fp_traffic *t,
+				  const struct fp_worker_end *e);
 /** Sets the failure domains whose workers get no requests; copies e. Any
  *  thread. */
 void fp_traffic_set_evacuation(struct fp_traffic *t,
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -31,6 +31,9 @@
  *  its parent, including NUL. */
 #define FP_REQUEST_ID_BYTES 256
 
+/** Maximum number of acknowledgements of a leaving worker that wait. */
+#define FP_MAX_HELD_ACKS 8
+
 /** Maximum number of calls remembered as aborted by the worker. */
 #define FP_MAX_ABORTED_CALLS 256
 
@@ -50,6 +53,12 @@
 	int64_t at_us; /* 0: none */
 };
 
+/** An announcement that is answered when the end of its worker is stored. */
+struct held_ack {
+	struct fp_http_exchange *exchange;
+	int64_t arrived_us;
+};
+
 /** Counters of the call path, looked up once at start. */
 struct traffic_counters {
 	struct fp_counter *results[FP_CLASS_COUNT][FP_REASON_COUNT];
@@ -123,7 +132,10 @@
 	int64_t held_us; /* last update of the metrics of it */
 	struct fp_byte_account *bytes; /* held for clients and workers */
 	struct parts *parts; /* bodies that pass between nodes in parts */
-	bool worker_leaving; /* it announced that it is leaving */
+	/* end of a worker that a later process of this node would read */
+	struct fp_worker_end stored_end;
+	struct held_ack held_acks[FP_MAX_HELD_ACKS];
+	uint32_t n_held_acks;
 	bool has_secret; /* links to other nodes can be established */
 	bool isolated; /* API keys cannot be trusted */
 	/* the configuration was confirmed as the newest at this time, monotonic
@@ -414,6 +426,8 @@
 /** Takes over what an earlier process of this node knew of a worker that had
  *  left, unless a later start of it was announced since. */
 void worker_inherit(struct fp_traffic *t, const struct fp_worker_end *e);
+/** Handles the report that the end of a worker is stored. */
+void worker_end_stored(struct fp_traffic *t, const struct fp_worker_end *e);
 /** Records that the worker aborted an execution of that root call, or was not
  *  reachable for it. */
 void worker_note_aborted(struct fp_traffic *t, uint64_t fingerprint);
--- a/src/node/worker.c
+++ b/src/node/worker.c
@@ -5,6 +5,12 @@
  * that the predecessor crashed. Calls that were aborted within CRASH_WINDOW_US
  * before it appeared count as in flight at the crash, and are reported to all
  * nodes.
+ *
+ * The acknowledgement that a worker is leaving binds this node, not only this
+ * process: a heartbeat from before may arrive after a restart. It is therefore
+ * sent when the end of the worker is in the store, where a later process reads
+ * it. While the store does not take it, the worker is not used, but its
+ * announcements are refused, so that it repeats them to whichever process runs.
  */
 #include <inttypes.h>
 #include <string.h>
@@ -18,13 +24,15 @@
 /* Calls aborted at most this long before a new instance appeared count as in
  * flight at the crash. */
 #define CRASH_WINDOW_US (10 * FP_US_PER_S)
+/* The worker takes an acknowledgement within a second. */
+#define ACK_WAIT_US (800 * FP_US_PER_MS)
 
 static bool same_worker(const struct fp_worker *a, const struct fp_worker *b)
 {
 	return a->port == b->port && a->slots == b->slots &&
 	       a->serving == b->serving && a->started_ms == b->started_ms &&
 	       a->warm_until_ms == b->warm_until_ms &&
-	       a->deregistered == b->deregistered &&
+	       a->leaving == b->leaving && a->deregistered == b->deregistered &&
 	       strcmp(a->instance, b->instance) == 0;
 }
 
@@ -85,7 +93,7 @@
 
 static bool crashed(const struct fp_traffic *t, const struct fp_announcement *a)
 {
-	return t->worker.instance[0] && !t->worker_leaving &&
+	return t->worker.instance[0] && !t->worker.leaving &&
 	       is_other_start(&t->worker, a);
 }
 
@@ -162,7 +170,7 @@
 	else if (!a->deregister && a->slow_start_us >= 0)
 		w.warm_until_ms = (fp_wall_us(t->clock) + a->slow_start_us) /
 				  FP_US_PER_MS;
-	t->worker_leaving = a->deregister || !a->serving;
+	w.leaving = a->deregister || !a->serving;
 	w.deregistered = a->deregister;
 	set_worker(t, &w);
 }
@@ -174,6 +182,7 @@
 	bool same = strcmp(w.instance, e->instance) == 0 &&
 		    w.started_ms == e->started_ms;
 
+	t->stored_end = *e;
 	if (known && !same && w.started_ms >= e->started_ms)
 		return;
 	if (known && same && !e->deregistered && w.sequence > e->sequence)
@@ -183,16 +192,86 @@
 	if (e->sequence > w.sequence || !same)
 		w.sequence = e->sequence;
 	w.serving = false;
+	w.leaving = true;
 	w.deregistered = e->deregistered;
-	t->worker_leaving = true;
 	set_worker(t, &w);
 }
 
-enum fp_status worker_announce(struct fp_traffic *t, struct fp_http_exchange *x,
-			       const struct fp_http_request *r)
+void worker_end_stored(struct fp_traffic *t, const struct fp_worker_end *e)
+{
+	t->stored_end = *e;
+}
+
+static bool end_is_stored(const struct fp_traffic *t)
+{
+	const struct fp_worker_end *e = &t->stored_end;
+
+	return strcmp(t->worker.instance, e->instance) == 0 &&
+	       t->worker.started_ms == e->started_ms &&
+	       t->worker.deregistered == e->deregistered;
+}
+
+static void acknowledge(struct fp_http_exchange *x)
 {
 	static const struct fp_http_header type = { "Content-Type",
 						    "application/json" };
+
+	fp_http_reply(x, 200, &type, 1, "{}", 2);
+}
+
+static void refuse_ack(struct fp_http_exchange *x)
+{
+	fp_log(FP_LOG_WARN, "worker_end_not_stored", "waited_ms=%d",
+	       (int)(ACK_WAIT_US / FP_US_PER_MS));
+	fp_http_reply(x, 503, NULL, 0, "", 0);
+}
+
+/* Whether the announcement may be acknowledged only after the end of its worker
+ * is stored. */
+static bool must_wait(const struct fp_traffic *t,
+		      const struct fp_announcement *a)
+{
+	return t->hosted && (a->deregister || !a->serving) &&
+	       t->worker.leaving && !is_other_start(&t->worker, a) &&
+	       !end_is_stored(t);
+}
+
+static void hold_ack(struct fp_traffic *t, struct fp_http_exchange *x)
+{
+	struct held_ack *h = &t->held_acks[t->n_held_acks];
+
+	if (t->n_held_acks == FP_MAX_HELD_ACKS) {
+		refuse_ack(x);
+		return;
+	}
+	h->exchange = x;
+	h->arrived_us = fp_loop_now_us(t->loop);
+	t->n_held_acks++;
+}
+
+static void answer_held_acks(struct fp_traffic *t, int64_t now_us)
+{
+	/* A later start of the worker makes its end irrelevant. */
+	bool may_acknowledge = !t->worker.leaving || end_is_stored(t);
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < t->n_held_acks; i++) {
+		struct held_ack h = t->held_acks[i];
+
+		if (may_acknowledge)
+			acknowledge(h.exchange);
+		else if (now_us - h.arrived_us >= ACK_WAIT_US)
+			refuse_ack(h.exchange);
+		else
+			t->held_acks[kept++] = h;
+	}
+	t->n_held_acks = kept;
+}
+
+enum fp_status worker_announce(struct fp_traffic *t, struct fp_http_exchange *x,
+			       const struct fp_http_request *r)
+{
 	struct fp_announcement a;
 	enum fp_status st;
 
@@ -212,7 +291,10 @@
 	}
 	if (!is_stale(t, &a))
 		apply(t, &a);
-	fp_http_reply(x, 200, &type, 1, "{}", 2);
+	if (must_wait(t, &a))
+		hold_ack(t, x);
+	else
+		acknowledge(x);
 	return FP_OK;
 }
 
@@ -220,6 +302,7 @@
 {
 	struct fp_worker w = t->worker;
 
+	answer_held_acks(t, now_us);
 	if (!w.serving || (now_us - t->announced_us <= ANNOUNCE_TIMEOUT_US &&
 			   !t->worker_withdrawn))
 		return;
--- a/test/directory_fleet.h
+++ b/test/directory_fleet.h
@@ -186,6 +186,7 @@
 			static_cast<Node *>(ctx)->validity = *v;
 		};
 		ops.worker_ended = [](void *, const struct fp_worker_end *) {};
+		ops.worker_end_stored = ops.worker_ended;
 		n.evacuation = {};
 		ops.evacuation = [](void *ctx, const struct fp_evacuation *e) {
 			static_cast<Node *>(ctx)->evacuation = *e;
--- a/test/directory_sim.h
+++ b/test/directory_sim.h
@@ -44,7 +44,10 @@
 		uint64_t lease, expect;
 	};
 	std::vector<late_put> late_puts;
-	int64_t lease_ttl_us = 0; /* 0: leases end only by end_lease() */
+	/* Leases end after the time to live that they were opened with;
+	 * otherwise only by end_lease(). */
+	bool leases_expire = false;
+	std::map<uint64_t, int64_t> lease_ttl_us;
 	std::map<uint64_t, int64_t> renewed_us; /* leases */
 	uint64_t compacted = 0; /* FP_EXHAUSTED for older watch revisions */
 	std::map<std::string, int> calls; /* number, by operation */
@@ -218,11 +221,12 @@
 			else if (check_put(p.key, p.lease, p.expect) == FP_OK)
 				write(p.key, p.value, p.lease);
 		}
-		if (!lease_ttl_us)
+		if (!leases_expire)
 			return;
 		std::map<uint64_t, bool> open = leases;
 		for (auto &l : open)
-			if (now_us - renewed_us[l.first] > lease_ttl_us)
+			if (now_us - renewed_us[l.first] >
+			    lease_ttl_us[l.first])
 				end_lease(l.first);
 	}
 
@@ -356,9 +360,9 @@
 		fake_registry *f = of(r);
 		pending *p = f->start("open", done, ctx);
 
-		(void)ttl_us;
 		if (p->status == FP_OK) {
 			p->lease = f->next_lease++;
+			f->lease_ttl_us[p->lease] = ttl_us;
 			f->leases[p->lease] = true;
 			f->renewed_us[p->lease] = fp_loop_now_us(f->loop);
 		}
@@ -446,6 +450,11 @@
 			static_cast<Directory *>(ctx)->worker_ends.push_back(
 				*e);
 		};
+		callbacks.worker_end_stored =
+			[](void *ctx, const struct fp_worker_end *e) {
+				static_cast<Directory *>(ctx)
+					->stored_ends.push_back(*e);
+			};
 		callbacks.send = [](void *ctx, const char *addr,
 				    const struct fp_msg_shared *m) {
 			static_cast<Directory *>(ctx)->sent.push_back(
@@ -546,6 +555,7 @@
 	std::map<std::string, struct fp_member> members;
 	std::vector<std::string> secrets;
 	std::vector<struct fp_worker_end> worker_ends;
+	std::vector<struct fp_worker_end> stored_ends;
 	struct fp_share_validity validity = {};
 	int64_t confirmed_us = 0; /* request time of the last confirmation */
 	std::vector<std::pair<std::string, struct fp_msg_shared>> sent;
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -198,7 +198,7 @@
 {
 	int n_puts = 0;
 
-	store.lease_ttl_us = 6000000;
+	store.leases_expire = true;
 	store.put_delay_ms = [&] { return n_puts++ ? 0 : 5000; };
 	start_with_n2(1500);
 	ASSERT_EQ(1u, store.items.count("fulmar/nodes/n1"));
@@ -244,30 +244,165 @@
 	EXPECT_EQ(1, store.calls["put"] - 1 /* secret */);
 }
 
-/* Guards against a worker that left and is used again after a restart of its
- * node: the next process learns of it before it has any members. */
-TEST_F(Directory, TheEndOfAWorkerOutlivesTheProcess)
+/* The last announcement of a worker that has left. */
+const struct fp_worker_end left = { "i-7", 1788008443000, 12, true };
+
+/* The process learns of the worker's end before it has any members. */
+class WorkerEnd : public Directory
 {
-	struct fp_worker_end e = { "i-7", 1788008443000, 12, true };
+      protected:
+	void expect_next_process_learns()
+	{
+		cfg.self.id = 77;
+		worker_ends.clear();
+		d = fp_directory_init(loop, &cfg, &directory_ops);
+		for (int ms = 0; members.empty() && ms < 1000; ms++)
+			run_ms(1);
+		ASSERT_FALSE(members.empty());
+		ASSERT_EQ(1u, worker_ends.size());
+		EXPECT_STREQ(left.instance, worker_ends[0].instance);
+		EXPECT_EQ(left.started_ms, worker_ends[0].started_ms);
+		EXPECT_EQ(left.sequence, worker_ends[0].sequence);
+		EXPECT_TRUE(worker_ends[0].deregistered);
+	}
+	void stop_as_planned()
+	{
+		fp_directory_leave(d);
+		run_ms(100);
+		end_process(100);
+	}
+};
 
+/* Guards against a worker that left and is used again after its node was
+ * killed and started. */
+TEST_F(WorkerEnd, OutlivesTheProcess)
+{
 	start_with_n2(1500);
 	EXPECT_TRUE(worker_ends.empty());
 	fp_directory_set_worker(d, 8, 0, false);
-	fp_directory_set_worker_end(d, &e);
+	fp_directory_set_worker_end(d, &left);
 	run_ms(100);
 	end_process(100);
-	cfg.self.id = 77;
-	for (int ms = 0; members.empty() && ms < 1000; ms++) {
-		if (!ms)
-			d = fp_directory_init(loop, &cfg, &directory_ops);
-		EXPECT_LE(worker_ends.size(), 1u);
-		run_ms(1);
+	expect_next_process_learns();
+}
+
+/* Guards against the same after a planned restart, which ends the lease of the
+ * node's record. */
+TEST_F(WorkerEnd, OutlivesAPlannedStop)
+{
+	start_with_n2(1500);
+	fp_directory_set_worker_end(d, &left);
+	run_ms(100);
+	stop_as_planned();
+	EXPECT_EQ(0u, store.items.count("fulmar/nodes/n1"));
+	expect_next_process_learns();
+}
+
+/* Guards against the same after a leaving that is announced while the node
+ * stops: its record is gone already. */
+TEST_F(WorkerEnd, IsStoredDuringAPlannedStop)
+{
+	start_with_n2(1500);
+	fp_directory_leave(d);
+	run_ms(20);
+	fp_directory_set_worker_end(d, &left);
+	run_ms(50);
+	end_process(100);
+	expect_next_process_learns();
+}
+
+/* Guards against the same after a pause that is longer than the lease of the
+ * node's record. */
+TEST_F(WorkerEnd, OutlivesTheLeaseOfTheNode)
+{
+	store.leases_expire = true;
+	start_with_n2(1500);
+	fp_directory_set_worker_end(d, &left);
+	run_ms(100);
+	end_process(30000);
+	EXPECT_EQ(0u, store.items.count("fulmar/nodes/n1"));
+	expect_next_process_learns();
+}
+
+/* Guards against the same after several restarts, during which nothing new is
+ * announced. */
+TEST_F(WorkerEnd, OutlivesSeveralRestarts)
+{
+	start_with_n2(1500);
+	fp_directory_set_worker_end(d, &left);
+	run_ms(100);
+	stop_as_planned();
+	for (int i = 0; i < 3; i++) {
+		expect_next_process_learns();
+		stop_as_planned();
 	}
-	ASSERT_EQ(1u, worker_ends.size());
-	EXPECT_STREQ("i-7", worker_ends[0].instance);
-	EXPECT_EQ(1788008443000, worker_ends[0].started_ms);
-	EXPECT_EQ(12u, worker_ends[0].sequence);
-	EXPECT_TRUE(worker_ends[0].deregistered);
+}
+
+/* Guards against an acknowledgement that only this process knows of: the end is
+ * reported as stored when a later process would read it, not before. */
+TEST_F(WorkerEnd, IsReportedOnlyWhenItIsStored)
+{
+	start_with_n2(1500);
+	store.put_status = FP_UNAVAILABLE;
+	fp_directory_set_worker_end(d, &left);
+	run_ms(3000);
+	EXPECT_TRUE(stored_ends.empty());
+	store.put_status = FP_OK;
+	run_ms(2000);
+	ASSERT_EQ(1u, stored_ends.size());
+	EXPECT_STREQ(left.instance, stored_ends[0].instance);
+	EXPECT_EQ(left.sequence, stored_ends[0].sequence);
+	end_process(100);
+	expect_next_process_learns();
+}
+
+/* Guards against an end that is never stored: a write whose answer was lost, or
+ * that the store did late, changed the record's revision. */
+TEST_F(WorkerEnd, IsStoredAfterAWriteWithoutAnAnswer)
+{
+	struct fp_worker_end draining = left;
+	int n_puts = 0;
+
+	draining.sequence = 11;
+	draining.deregistered = false;
+	start_with_n2(1500);
+	store.put_delay_ms = [&] { return n_puts++ ? 0 : 20; };
+	fp_directory_set_worker_end(d, &draining);
+	run_ms(10);
+	fp_directory_set_worker_end(d, &left);
+	run_ms(2000);
+	ASSERT_FALSE(stored_ends.empty());
+	EXPECT_TRUE(stored_ends.back().deregistered);
+	end_process(100);
+	expect_next_process_learns();
+}
+
+TEST_F(WorkerEnd, IsReportedWhenTheAnswerOfItsWriteWasLost)
+{
+	start_with_n2(1500);
+	store.lose_put_answers = true;
+	fp_directory_set_worker_end(d, &left);
+	run_ms(20);
+	store.lose_put_answers = false;
+	EXPECT_TRUE(stored_ends.empty());
+	run_ms(500);
+	ASSERT_EQ(1u, stored_ends.size());
+	EXPECT_STREQ(left.instance, stored_ends[0].instance);
+}
+
+/* Guards against records that pile up: the store removes an end that cannot
+ * matter any more, also if its node is gone for good. */
+TEST_F(WorkerEnd, IsRemovedInTheEnd)
+{
+	store.leases_expire = true;
+	start_with_n2(1500);
+	size_t n_before = store.items.size();
+	fp_directory_set_worker_end(d, &left);
+	run_ms(100);
+	EXPECT_EQ(n_before + 1, store.items.size());
+	fp_manual_clock_advance(&clock, 601 * FP_US_PER_S);
+	run_ms(5000);
+	EXPECT_EQ(n_before, store.items.size());
 }
 
 /* The requirement is two seconds from the store's return. */
--- a/test/test_directory_fleet.cc
+++ b/test/test_directory_fleet.cc
@@ -243,7 +243,7 @@
 		seeds.push_back(seed);
 	if (seed_env)
 		seeds = { strtoull(seed_env, nullptr, 10) };
-	store.lease_ttl_us = 6000000;
+	store.leases_expire = true;
 	for (uint64_t seed : seeds) {
 		std::string when = "seed " + std::to_string(seed);
 
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -322,31 +322,85 @@
 		[&] { return call(*machines[0], "/deep/x").status == 200; }));
 }
 
-/*
- * Guards against a server that is used again although it left: its node is
- * killed and started after it acknowledged the leaving, and a heartbeat that was
- * sent before arrives late. The server still answers.
- */
-TEST_F(Hosted, AServerThatLeftIsNotUsedAfterARestartOfItsNode)
+/* A server that left while its node restarts; the server still answers. */
+class HostedLeft : public Hosted
 {
-	serve();
-	Machine &m = *machines[1];
+      protected:
+	/* Starts the machines and stops the heartbeats of the second one. */
+	void serve_and_stop_heartbeats()
+	{
+		serve();
+		announce_stopped[machines[1]->id] = true;
+		usleep(400000);
+	}
 
-	announce_stopped[m.id] = true;
-	usleep(400000);
-	ASSERT_TRUE(platform_server_deregister(m.server));
+	/* Starts the node again and delivers heartbeats of the server that
+	 * were sent before it left. */
+	void expect_not_used_after_start()
+	{
+		Machine &m = *machines[1];
+
+		ASSERT_TRUE(fleet_process_start(f, m.node));
+		ASSERT_TRUE(wait([&] { return ready(m) == 200; }));
+		int runs = platform_server_run_count(m.server);
+		for (int i = 0; i < 20; i++) {
+			ASSERT_TRUE(
+				platform_server_announce(m.server, "ready"));
+			EXPECT_EQ(503, call(*machines[0], "/deep/x").status);
+			EXPECT_EQ(503, call(m, "/deep/x").status);
+			usleep(100000);
+		}
+		EXPECT_EQ(runs, platform_server_run_count(m.server));
+	}
+};
+
+/* Guards against a server that is used again although it left: its node is
+ * killed after it acknowledged the leaving. */
+TEST_F(HostedLeft, AServerThatLeftIsNotUsedAfterARestartOfItsNode)
+{
+	serve_and_stop_heartbeats();
+	ASSERT_TRUE(platform_server_deregister(machines[1]->server));
 	usleep(200000);
+	fleet_process_kill(machines[1]->node);
+	expect_not_used_after_start();
+}
+
+/* Guards against the same if the node is killed at the acknowledgement. */
+TEST_F(HostedLeft, AServerIsNotUsedAfterAKillAtTheAcknowledgement)
+{
+	serve_and_stop_heartbeats();
+	ASSERT_TRUE(platform_server_deregister(machines[1]->server));
+	fleet_process_kill(machines[1]->node);
+	expect_not_used_after_start();
+}
+
+/* Guards against the same after a planned stop, which ends the lease of the
+ * node's record. */
+TEST_F(HostedLeft, AServerIsNotUsedAfterAPlannedRestartOfItsNode)
+{
+	serve_and_stop_heartbeats();
+	ASSERT_TRUE(platform_server_deregister(machines[1]->server));
+	fleet_process_signal(machines[1]->node, SIGTERM);
+	ASSERT_TRUE(fleet_process_wait(machines[1]->node, 7000));
+	expect_not_used_after_start();
+}
+
+/* Guards against an acknowledgement that a later process would not know of: a
+ * leaving is acknowledged only when it is in the store. */
+TEST_F(HostedLeft, ALeavingIsAcknowledgedWhenItIsStored)
+{
+	serve_and_stop_heartbeats();
+	Machine &m = *machines[1];
+
+	platform_endpoint_set_fault(m.store_endpoint, PLATFORM_UNAVAILABLE);
+	EXPECT_FALSE(platform_server_deregister(m.server));
+	EXPECT_EQ(503, call(m, "/deep/x").status);
+	EXPECT_FALSE(platform_server_deregister(m.server));
+	platform_endpoint_set_fault(m.store_endpoint, PLATFORM_NO_FAULT);
+	EXPECT_TRUE(wait([&] { return platform_server_deregister(m.server); },
+			 2000));
 	fleet_process_kill(m.node);
-	ASSERT_TRUE(fleet_process_start(f, m.node));
-	ASSERT_TRUE(wait([&] { return ready(m) == 200; }));
-	int runs = platform_server_run_count(m.server);
-	for (int i = 0; i < 20; i++) {
-		ASSERT_TRUE(platform_server_announce(m.server, "ready"));
-		EXPECT_EQ(503, call(*machines[0], "/deep/x").status);
-		EXPECT_EQ(503, call(m, "/deep/x").status);
-		usleep(100000);
-	}
-	EXPECT_EQ(runs, platform_server_run_count(m.server));
+	expect_not_used_after_start();
 }
 
 /* Guards against a withdrawn key in use again: a node is killed, the key is
