An empty table of organisations still requires keys

Cause: a record whose table of organisations is empty counted as one without the table, for which no request needs a key. The keys themselves were not found, as a test of the index shows; they were not looked up.

Change: only a missing table makes routes keyless. The same cause stood in the other tables: a value of another type counted as empty, so that it would have dropped all routes or, for organisations, the need of keys. Such a record is invalid now, as is one without routes, and is not confirmed.

--- a/src/state/config.h
+++ b/src/state/config.h
@@ -127,7 +127,9 @@
 	 *  it matches complete path segments, and a slash at its end, or at that
 	 *  of the path, makes no difference. */
 	bool byte_prefixes;
-	bool keyless; /**< no organisations: no request needs a key */
+	/** The record knows no organisations, which is not the same as having
+	 *  none: no request needs a key. */
+	bool keyless;
 	/** Largest body of a caller's request; 0: limited by the settings only. */
 	uint32_t max_body_bytes;
 	/** of the change that created this revision */
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -322,6 +322,29 @@
 		[&] { return call(*machines[0], "/deep/x").status == 200; }));
 }
 
+/* Guards against any key, or none, being accepted on each route once the keys
+ * of the last organisation are taken away. */
+TEST_F(Hosted, NoKeyIsAcceptedWhenTheLastOrganisationIsGone)
+{
+	serve();
+	Machine &m = *machines[0];
+	std::string text = config(2);
+	int runs = platform_server_run_count(machines[1]->server);
+
+	EXPECT_EQ(401, call(m, "/order/x", "other").status);
+	platform_store_write(
+		store, "op/config",
+		(text.substr(0, text.find("\"tenants\"")) + "\"tenants\":{}}")
+			.c_str());
+	ASSERT_TRUE(wait([&] { return log_has(m, "revision=2"); }));
+	for (const char *key : { "k1", "other", "" })
+		for (const char *path : { "/deep/x", "/order/x" })
+			EXPECT_EQ(401, call(m, path, key).status)
+				<< path << " " << key;
+	EXPECT_EQ(runs, platform_server_run_count(machines[1]->server));
+	EXPECT_EQ(200, call(m, "/inner/x", "").status);
+}
+
 /* A server that left while its node restarts; the server still answers. */
 class HostedLeft : public Hosted
 {
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -363,6 +363,26 @@
 	fp_config_end(c);
 }
 
+/* Guards against keys that were taken away and are accepted, as is any other,
+ * once the last organisation is gone. */
+TEST(Record, WithAnEmptyTableOfOrganisationsNeedsKeys)
+{
+	std::string text = record.substr(0, record.find(",\"tenants\"")) +
+			   ",\"tenants\":{}}";
+	struct fp_config *c = nullptr;
+	uint8_t hash[FP_KEY_HASH_BYTES];
+	uint32_t org;
+
+	ASSERT_EQ(FP_OK, platform_config(text.data(), text.size(), &c));
+	EXPECT_FALSE(c->keyless);
+	fp_key_hash("k1", 2, hash);
+	EXPECT_EQ(FP_NOT_FOUND, fp_config_find_key(c, hash, &org));
+	struct fp_config *copy = fp_config_copy(c);
+	EXPECT_FALSE(copy->keyless);
+	fp_config_end(copy);
+	fp_config_end(c);
+}
+
 TEST(Record, WithAnInvalidEntryIsRefused)
 {
 	const std::string invalid[] = {
@@ -381,6 +401,15 @@
 		record_with("\"weight\":90", "\"weight\":-1"),
 		record_with("\"ratePerS\":160", "\"ratePerS\":\"160\""),
 		record_with("\"k1\"", "1"),
+		/* A value that is no table takes nothing away. */
+		record_with("\"routes\":", "\"roads\":"),
+		record_with("\"routes\":", "\"routes\":[],\"roads\":"),
+		record_with("\"tenants\":", "\"tenants\":[],\"others\":"),
+		record_with("\"tenants\":", "\"tenants\":null,\"others\":"),
+		record_with("\"tenants\":", "\"tenants\":false,\"others\":"),
+		record_with("\"services\":{}", "\"services\":[]"),
+		record_with("\"limits\":{}", "\"limits\":0"),
+		record_with("[\"k1\",\"k2\"]", "\"k1\""),
 		record_with("\"services\":{}",
 			    "\"services\":{\"s\":{\"coldPerS\":\"11\"}}"),
 		record_with("\"services\":{}",
