Texts of the configuration record have any length

Moved routes go on at the old service, dropped ones run, and from 5 s on requests with a key get 503.

Cause: each text was copied into an array of fixed size, and one that did not fit made the whole record invalid (config_refused names it). So did names of routes and services, host names, prefixes, health paths and a ninth service of a route.

Change: names have a short form of at most 47 bytes that all nodes derive alike, so state, messages and metrics stay as they are; the texts as the operator wrote them stand in one block of the configuration. The entry node sends an organisation's long name in a header of the call.

Record.HomesHaveNoEffect is as it was.

A route takes 348 bytes, 752 before.

--- a/src/coordination/member.h
+++ b/src/coordination/member.h
@@ -17,7 +17,7 @@
 /** The last announcement of a worker that is leaving or has left. Tells a later
  *  process of its node which announcements are old. */
 struct fp_worker_end {
-	char instance[FP_NAME_BYTES]; /**< empty: it is not leaving */
+	char instance[FP_INSTANCE_BYTES]; /**< empty: it is not leaving */
 	int64_t started_ms; /**< its start, Unix ms; 0: not announced */
 	uint64_t sequence; /**< of the announcement; 0: not announced */
 	bool deregistered; /**< this start does not register again */
--- a/src/node/backend_call.c
+++ b/src/node/backend_call.c
@@ -138,6 +138,16 @@
 		h[(*n)++] = (struct fp_http_header){ name, value };
 }
 
+/* A name that is too long for the message is among the headers of the call. */
+static void put_org(const struct execution *e, struct fp_http_header *h,
+		    uint32_t *n)
+{
+	const char *name = e->t->dialect->org;
+
+	if (name && !fp_msg_header_find(&e->msg.content, name))
+		put_header(h, n, name, e->msg.org);
+}
+
 uint32_t backend_headers(const struct execution *e, int64_t left_us,
 			 struct fp_http_header *h,
 			 char texts[BACKEND_TEXTS][BACKEND_TEXT_BYTES])
@@ -157,7 +167,7 @@
 	/* In dialects with nested_id_infix, nested calls carry no key, and
 	 * their organisation is not sent to the backend server either. */
 	if (!e->msg.nested || !d->nested_id_infix)
-		put_header(h, &n, d->org, e->msg.org);
+		put_org(e, h, &n);
 	put_header(h, &n, d->cls, fp_class_name(e->msg.cls));
 	put_header(h, &n, d->caller_service, e->msg.caller);
 	put_header(h, &n, d->target, e->t->worker.instance);
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -37,19 +37,28 @@
 
 /* --- creation and end --- */
 
-static void copy_headers(struct call *c, const struct fp_http_request *r)
+void call_add_header(struct call *c, const char *name, const char *value)
 {
 	struct fp_msg_content *to = &c->msg.content;
+	struct fp_msg_header *h = &to->headers[to->n_headers];
+
+	h->name = strdup(name);
+	h->value = strdup(value);
+	if (!h->name || !h->value)
+		abort();
+	to->n_headers++;
+}
+
+/* The last place is left for a header of the node, call_add_header(). */
+static void copy_headers(struct call *c, const struct fp_http_request *r)
+{
 	uint32_t i;
 
-	for (i = 0; i < r->n_headers; i++) {
-		if (!answer_forwards_header(c->t, r->headers[i].name) ||
-		    to->n_headers == FP_MAX_CALL_HEADERS)
-			continue;
-		to->headers[to->n_headers].name = strdup(r->headers[i].name);
-		to->headers[to->n_headers].value = strdup(r->headers[i].value);
-		to->n_headers++;
-	}
+	for (i = 0; i < r->n_headers; i++)
+		if (answer_forwards_header(c->t, r->headers[i].name) &&
+		    c->msg.content.n_headers < FP_MAX_CALL_HEADERS - 1)
+			call_add_header(c, r->headers[i].name,
+					r->headers[i].value);
 }
 
 struct call *call_new(struct fp_traffic *t, struct fp_http_exchange *x,
@@ -117,7 +126,8 @@
 void call_set_route(struct call *c, const struct fp_route *r)
 {
 	memcpy(c->msg.route, r->name, sizeof(c->msg.route));
-	strncpy(c->msg.service, fp_route_service(r, traffic_random()),
+	strncpy(c->msg.service,
+		fp_config_route_service(c->t->config, r, traffic_random()),
 		sizeof(c->msg.service) - 1);
 	c->msg.non_idempotent = !r->idempotent;
 	c->without_claim = r->without_claim;
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -53,6 +53,9 @@
 struct call *call_new(struct fp_traffic *t, struct fp_http_exchange *x,
 		      const struct fp_http_request *r);
 
+/** Adds a header to the request that is forwarded; copies its texts. */
+void call_add_header(struct call *c, const char *name, const char *value);
+
 /** Copies service, idempotency, target latency and worker limit of a route. */
 void call_set_route(struct call *c, const struct fp_route *r);
 
--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -111,6 +111,9 @@
 	o = &c->t->config->orgs[org];
 	c->org_index = org;
 	snprintf(c->msg.org, sizeof(c->msg.org), "%s", o->name);
+	if (o->long_name)
+		call_add_header(c, c->t->dialect->org,
+				fp_config_org_name(c->t->config, o));
 	c->msg.org_weight = o->rate_per_s;
 	if (o->has_class)
 		c->msg.cls = o->cls;
--- a/src/node/membership.c
+++ b/src/node/membership.c
@@ -65,7 +65,7 @@
 	uint64_t record_version; /* of the domain's join record */
 	char record[RECORD_BYTES]; /* its last known text */
 	uint32_t worker_starts; /* instances of the worker seen so far */
-	char worker_instance[FP_NAME_BYTES];
+	char worker_instance[FP_INSTANCE_BYTES];
 	/* Members declared dead in the last FP_DEAD_COUNTED_US without proof
 	 * that their process has ended. */
 	struct dead_member dead[MAX_DEAD_MEMBERS];
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -41,7 +41,7 @@
 struct fp_worker {
 	uint16_t port; /**< where it accepts requests */
 	uint32_t slots; /**< requests that it runs at once */
-	char instance[FP_NAME_BYTES]; /**< differs after each start */
+	char instance[FP_INSTANCE_BYTES]; /**< differs after each start */
 	int64_t started_ms; /**< start time, Unix ms; 0: not announced */
 	int64_t warm_until_ms; /**< end of its slow start phase, Unix ms; 0: not
 			      announced */
--- a/src/node/where.c
+++ b/src/node/where.c
@@ -234,21 +234,23 @@
 static void add_route(struct where_question *q, const struct fp_route *r,
 		      const struct call *c)
 {
+	const struct fp_config *cfg = q->t->config;
+	const struct fp_traffic_split *s = cfg->splits + r->first_split;
 	json_t *splits = json_array();
 	uint32_t i;
 
 	for (i = 0; i < r->n_splits; i++)
-		json_array_append_new(splits,
-				      json_pack("{s:s,s:i}", "service",
-						r->splits[i].service, "weight",
-						(int)r->splits[i].weight));
+		json_array_append_new(splits, json_pack("{s:s,s:i}", "service",
+							s[i].service, "weight",
+							(int)s[i].weight));
 	json_object_set_new(
 		q->answer, "route",
 		json_pack("{s:s,s:s,s:s,s:s,s:s,s:b,s:b,s:b,s:i,s:i,s:o}",
-			  "name", r->name, "method", r->method, "host", r->host,
-			  "prefix", r->prefix, "class", fp_class_name(r->cls),
-			  "idempotent", r->idempotent, "claim",
-			  call_needs_claim(c), "needs_key",
+			  "name", r->name, "method", r->method, "host",
+			  fp_config_host(cfg, r), "prefix",
+			  fp_config_prefix(cfg, r), "class",
+			  fp_class_name(r->cls), "idempotent", r->idempotent,
+			  "claim", call_needs_claim(c), "needs_key",
 			  intake_needs_key(q->t, r), "deadline_ms",
 			  (int)r->deadline_ms, "latency_target_ms",
 			  (int)r->latency_target_ms, "split", splits));
@@ -286,7 +288,7 @@
 	snprintf(c->msg.uri, sizeof(c->msg.uri), "%s", q->path);
 	call_set_route(c, route);
 	snprintf(c->msg.service, sizeof(c->msg.service), "%s",
-		 fp_route_service(route, q->draw));
+		 fp_config_route_service(q->t->config, route, q->draw));
 	memcpy(q->service, c->msg.service, sizeof(q->service));
 	c->msg.cls = route->cls;
 	c->org_index = UINT32_MAX;
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -24,7 +24,7 @@
 
 /** An announcement of a backend server about itself. */
 struct fp_announcement {
-	char instance[FP_NAME_BYTES]; /**< differs after each start */
+	char instance[FP_INSTANCE_BYTES]; /**< differs after each start */
 	char service[FP_NAME_BYTES]; /**< "": not announced */
 	char address[32]; /**< "ip:port"; "": not announced */
 	uint16_t port; /**< 0: not announced */
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -14,7 +14,7 @@
 #include <strings.h>
 
 /* Exceeds the rank of any path, so that a route with a host comes first. */
-#define HOST_RANK ((size_t)4 * FP_PATH_BYTES)
+#define HOST_RANK (SIZE_MAX / 2)
 
 /* Copies n items; an empty array remains NULL. */
 static bool copy_array(void *to, const void *from, size_t n, size_t size)
@@ -42,6 +42,8 @@
 	c->presets = NULL;
 	c->objectives = NULL;
 	c->services = NULL;
+	c->splits = NULL;
+	c->texts = NULL;
 	c->recent_change_ids = NULL;
 }
 
@@ -55,7 +57,7 @@
 	clear_arrays(n);
 	if (!COPY(orgs) || !COPY(keys) || !COPY(operators) || !COPY(routes) ||
 	    !COPY(presets) || !COPY(objectives) || !COPY(services) ||
-	    !COPY(recent_change_ids)) {
+	    !COPY(splits) || !COPY(texts) || !COPY(recent_change_ids)) {
 		fp_config_end(n);
 		return NULL;
 	}
@@ -73,10 +75,62 @@
 	free(c->presets);
 	free(c->objectives);
 	free(c->services);
+	free(c->splits);
+	free(c->texts);
 	free(c->recent_change_ids);
 	free(c);
 }
 
+bool fp_config_set_text(struct fp_config *c, const char *text, char *array,
+			size_t size, uint32_t *at)
+{
+	size_t bytes = strlen(text) + 1;
+	uint32_t used = c->n_texts ? c->n_texts : 1;
+	char *texts;
+
+	*at = 0;
+	array[0] = '\0';
+	if (bytes <= size) {
+		memcpy(array, text, bytes);
+		return true;
+	}
+	if (bytes > UINT32_MAX - used)
+		return false;
+	texts = realloc(c->texts, used + bytes);
+	if (!texts)
+		return false;
+	texts[0] = '\0';
+	memcpy(texts + used, text, bytes);
+	c->texts = texts;
+	c->n_texts = used + (uint32_t)bytes;
+	*at = used;
+	return true;
+}
+
+const char *fp_config_org_name(const struct fp_config *c,
+			       const struct fp_org *o)
+{
+	return o->long_name ? c->texts + o->long_name : o->name;
+}
+
+const char *fp_config_host(const struct fp_config *c, const struct fp_route *r)
+{
+	return r->long_host ? c->texts + r->long_host : r->host;
+}
+
+const char *fp_config_prefix(const struct fp_config *c,
+			     const struct fp_route *r)
+{
+	return r->long_prefix ? c->texts + r->long_prefix : r->prefix;
+}
+
+const char *fp_config_health_path(const struct fp_config *c,
+				  const struct fp_service *s)
+{
+	return s->long_health_path ? c->texts + s->long_health_path :
+				     s->health_path;
+}
+
 static int compare_keys(const void *a, const void *b)
 {
 	const struct fp_key *x = a;
@@ -186,20 +240,21 @@
 	for (i = 0; i < c->n_routes; i++) {
 		const struct fp_route *r = &c->routes[i];
 		bool exact = strcmp(r->method, method) == 0;
-		size_t len = prefix_length(c, r->prefix);
+		const char *prefix = fp_config_prefix(c, r);
+		const char *route_host = fp_config_host(c, r);
+		size_t len = prefix_length(c, prefix);
 		/* longer prefix first; at the same length a named method
 		 * first */
 		size_t rank = 2 * len + (exact ? 2 : 1);
 
 		if (!exact && strcmp(r->method, "*") != 0)
 			continue;
-		if (r->host[0]) {
-			if (!host_matches(r->host, host))
+		if (route_host[0]) {
+			if (!host_matches(route_host, host))
 				continue;
 			rank += HOST_RANK;
 		}
-		if (rank <= best_rank ||
-		    !prefix_matches(c, r->prefix, len, path))
+		if (rank <= best_rank || !prefix_matches(c, prefix, len, path))
 			continue;
 		best = r;
 		best_rank = rank;
@@ -207,19 +262,21 @@
 	return best;
 }
 
-const char *fp_route_service(const struct fp_route *r, uint64_t draw)
+const char *fp_config_route_service(const struct fp_config *c,
+				    const struct fp_route *r, uint64_t draw)
 {
+	const struct fp_traffic_split *s = c->splits + r->first_split;
 	uint64_t sum = 0;
 	uint32_t i;
 
 	for (i = 0; i < r->n_splits; i++)
-		sum += r->splits[i].weight;
+		sum += s[i].weight;
 	if (!sum)
 		return r->service;
 	draw %= sum;
-	for (i = 0; draw >= r->splits[i].weight; i++)
-		draw -= r->splits[i].weight;
-	return r->splits[i].service;
+	for (i = 0; draw >= s[i].weight; i++)
+		draw -= s[i].weight;
+	return s[i].service;
 }
 
 int fp_config_find_org(const struct fp_config *c, const char *name)
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -13,9 +13,16 @@
 extern "C" {
 #endif
 
+/*
+ * A text of an operator may be longer than its array. Such a text is in texts of
+ * the configuration, and the field long_... is its position there; 0: the text is
+ * in the array. Names are in their arrays in both cases, see fp_name_shorten().
+ */
+
 /** An organisation; its rate and burst apply to the whole fleet. */
 struct fp_org {
 	char name[FP_NAME_BYTES];
+	uint32_t long_name; /**< see fp_config_org_name() */
 	uint32_t rate_per_s; /**< requests per second */
 	uint32_t burst; /**< requests; rate and burst 0: not limited */
 	bool has_class; /**< cls is set and has priority over the route's */
@@ -36,13 +43,11 @@
 	char name[FP_NAME_BYTES];
 };
 
-/** Maximum number of services that one route is split over. */
-#define FP_MAX_TRAFFIC_SPLITS 8
-
 /** A service, as far as the configuration tells about its workers. */
 struct fp_service {
 	char name[FP_NAME_BYTES];
 	char health_path[FP_PATH_BYTES]; /**< "": none */
+	uint32_t long_health_path; /**< see fp_config_health_path() */
 	uint32_t cold_per_s; /**< requests per second that a cold worker
 			      *   tolerates; 0: not limited */
 	uint32_t cold_ms; /**< time that a worker is cold after its start */
@@ -59,6 +64,7 @@
 	char name[FP_NAME_BYTES];
 	char method[8]; /**< "GET", "POST", ... or "*" */
 	char prefix[FP_PATH_BYTES];
+	uint32_t long_prefix; /**< see fp_config_prefix() */
 	char service[FP_NAME_BYTES];
 	enum fp_class cls;
 	/** false: runs at most once and needs an Idempotency-Key, except if
@@ -70,11 +76,12 @@
 	bool open; /**< true: needs no key and has no organisation */
 	uint32_t deadline_ms; /**< time limit of the complete call tree */
 	char host[FP_HOST_BYTES]; /**< "": any */
+	uint32_t long_host; /**< see fp_config_host() */
 	uint32_t latency_target_ms; /**< target latency; 0: not set */
 	/** maximum number of workers that a request may reach; 0: not
 	 * limited by the route, only by the retries of the preset */
 	uint32_t max_workers;
-	struct fp_traffic_split splits[FP_MAX_TRAFFIC_SPLITS];
+	uint32_t first_split; /**< index into splits of the configuration */
 	uint32_t n_splits; /**< 0: all requests go to service */
 };
 
@@ -113,6 +120,8 @@
 	struct fp_preset *presets;
 	struct fp_objective *objectives;
 	struct fp_service *services;
+	struct fp_traffic_split *splits; /**< of all routes */
+	char *texts; /**< long ones, each with its NUL; begins with a NUL */
 	char (*recent_change_ids)[FP_NAME_BYTES]; /**< newest first */
 	uint32_t n_orgs;
 	uint32_t n_keys;
@@ -121,6 +130,8 @@
 	uint32_t n_presets;
 	uint32_t n_objectives;
 	uint32_t n_services;
+	uint32_t n_splits;
+	uint32_t n_texts; /**< bytes in texts */
 	uint32_t n_recent_change_ids;
 	uint32_t active_preset; /**< index into presets */
 	/** A prefix matches if the path begins with it, byte for byte; otherwise
@@ -145,6 +156,27 @@
 /** Sorts keys by hash; call it after any change of the keys. */
 void fp_config_index(struct fp_config *c);
 
+/**
+ * Stores a text of an operator while a configuration is built: in its array, or
+ * in texts if it is too long for that.
+ *
+ * @param array  of size bytes
+ * @param at     set to the position in texts; 0: it is in the array
+ * @return false when out of memory
+ */
+bool fp_config_set_text(struct fp_config *c, const char *text, char *array,
+			size_t size, uint32_t *at);
+
+/** Return texts as the operator wrote them, whatever their length; valid as long
+ *  as the configuration. */
+const char *fp_config_org_name(const struct fp_config *c,
+			       const struct fp_org *o);
+const char *fp_config_host(const struct fp_config *c, const struct fp_route *r);
+const char *fp_config_prefix(const struct fp_config *c,
+			     const struct fp_route *r);
+const char *fp_config_health_path(const struct fp_config *c,
+				  const struct fp_service *s);
+
 /** Hashes a key's text. */
 void fp_key_hash(const char *text, size_t len, uint8_t hash[FP_KEY_HASH_BYTES]);
 
@@ -182,7 +214,8 @@
  *
  * @param draw  uniform random number; the same number gives the same service
  */
-const char *fp_route_service(const struct fp_route *r, uint64_t draw);
+const char *fp_config_route_service(const struct fp_config *c,
+				    const struct fp_route *r, uint64_t draw);
 
 /** Finds an organisation by name; returns its index or -1. */
 int fp_config_find_org(const struct fp_config *c, const char *name);
--- a/src/state/types.c
+++ b/src/state/types.c
@@ -1,9 +1,14 @@
 /* types.c - names of classes, outcomes and reasons; HTTP status of reasons */
 #include "state/types.h"
 
+#include <sodium.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <string.h>
 
+/* Bytes of the hash of a long name, written in hexadecimal. */
+#define NAME_HASH_BYTES 8
+
 static const char *const class_names[FP_CLASS_COUNT] = {
 	"important",
 	"normal",
@@ -83,3 +88,24 @@
 	return priority < FP_CLASS_COUNT ? (enum fp_class)priority :
 					   FP_CLASS_SHEDDABLE;
 }
+
+bool fp_name_shorten(const char *name, char to[FP_NAME_BYTES])
+{
+	uint8_t hash[crypto_generichash_BYTES];
+	char hex[2 * NAME_HASH_BYTES + 1];
+	size_t len = strlen(name);
+
+	if (len < FP_NAME_BYTES) {
+		memcpy(to, name, len + 1);
+		return true;
+	}
+	crypto_generichash(hash, sizeof(hash), (const unsigned char *)name, len,
+			   NULL, 0);
+	sodium_bin2hex(hex, sizeof(hex), hash, NAME_HASH_BYTES);
+	len = FP_NAME_BYTES - 1 - strlen(hex) - 1;
+	/* Ends before a character of UTF-8 that would be cut. */
+	while (((uint8_t)name[len] & 0xc0) == 0x80)
+		len--;
+	snprintf(to, FP_NAME_BYTES, "%.*s~%s", (int)len, name, hex);
+	return false;
+}
--- a/src/state/types.h
+++ b/src/state/types.h
@@ -8,6 +8,7 @@
 #ifndef FP_STATE_TYPES_H
 #define FP_STATE_TYPES_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -17,9 +18,13 @@
 /** Size of the name of an organisation, service, route or failure domain, with
  * NUL. */
 #define FP_NAME_BYTES 48
-/** Size of a route's path prefix, with NUL. */
+/** Size of the id of a backend server's start, with NUL. */
+#define FP_INSTANCE_BYTES 256
+/** Size of a route's path prefix, with NUL; a platform's may be longer, see
+ *  fp_config_prefix(). */
 #define FP_PATH_BYTES 128
-/** Size of a host name with port, with NUL. */
+/** Size of a host name with port, with NUL; a platform's may be longer, see
+ *  fp_config_host(). */
 #define FP_HOST_BYTES 80
 /** Size of a key's hash (BLAKE2b), bytes. */
 #define FP_KEY_HASH_BYTES 32
@@ -93,6 +98,15 @@
 	FP_REASON_COUNT
 };
 
+/**
+ * Writes the form of a name that state, messages and metrics use: the name
+ * itself, or if that is too long its beginning, '~' and a hash of all of it. The
+ * form is the same at all nodes.
+ *
+ * @return whether it is the name itself
+ */
+bool fp_name_shorten(const char *name, char to[FP_NAME_BYTES]);
+
 /** Returns the lower-case name of a class, outcome or reason. */
 const char *fp_class_name(enum fp_class c);
 const char *fp_outcome_name(enum fp_outcome o);
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -345,6 +345,31 @@
 	EXPECT_EQ(200, call(m, "/inner/x", "").status);
 }
 
+/* Guards against a configuration that is not in force, and requests that run for
+ * an organisation of another name, because a name is long. */
+TEST_F(Hosted, ALongNameOfAnOrganisationReachesTheServerWhole)
+{
+	serve();
+	int version = 1;
+
+	for (size_t len : { 47, 48, 300, 5000 }) {
+		std::string name(len, 't');
+		std::string text = config(++version);
+		std::string revision = "revision=" + std::to_string(version);
+
+		text.replace(text.find("\"t1\""), 4, "\"" + name + "\"");
+		platform_store_write(store, "op/config", text.c_str());
+		for (auto &m : machines) {
+			ASSERT_TRUE(wait([&] {
+				return log_has(*m, revision.c_str());
+			})) << len;
+			EXPECT_EQ(200, call(*m, "/deep/x").status) << len;
+			EXPECT_EQ(name, last(*machines[1], "Fulmarpass-Tenant"))
+				<< len;
+		}
+	}
+}
+
 /* A server that left while its node restarts; the server still answers. */
 class HostedLeft : public Hosted
 {
