An answer whose status is not of HTTP is not accepted

Statuses 600 and 999 reached the client as they are in all of these, and with the header that marks a request as not run they were answered 503, which promises that it did not run. On connections that stay open a status of four digits was waited for until the request's time was over.

Cause: the status was what the HTTP library made of the first line, and only its being 200 or more was checked.

Change: the first line of a head must be a status line with a status from 100 to 599; else the answer ends at once, as unknown (502).

--- a/src/transport/http_answer.c
+++ b/src/transport/http_answer.c
@@ -18,7 +18,8 @@
  * an answer without that header belongs to no request. The beginning of such
  * bytes may also be followed by the answer itself, which then continues their
  * head. So a head with a second status line, a line that is no header field, or
- * two lengths belongs to no request either.
+ * two lengths belongs to no request either. Nor does one whose status is none of
+ * HTTP, from 100 to 599, whatever follows it.
  */
 #include <ctype.h>
 #include <stdlib.h>
@@ -228,11 +229,27 @@
 	return true;
 }
 
+/* Whether a line begins an answer: "HTTP/1.1 200", then a space and a reason or
+ * nothing. The library takes other numbers for a status too. */
+static bool is_status_line(const char *line)
+{
+	size_t digits;
+
+	if (strncmp(line, "HTTP/1.", 7) != 0 ||
+	    !isdigit((unsigned char)line[7]) || line[8] != ' ')
+		return false;
+	line += 9;
+	digits = strspn(line, "0123456789");
+	return digits == 3 && line[0] >= '1' && line[0] <= '5' &&
+	       strchr(" \r\n", line[digits]);
+}
+
 /* Starts a head; what was stored belongs to an interim answer. */
 static bool begin_head(struct fp_http_send *s, const char *data, size_t len)
 {
 	char *line = strndup(data, len);
-	bool valid = line && !contains_status_line(line);
+	bool valid =
+		line && is_status_line(line) && !contains_status_line(line);
 
 	free(line);
 	http_answer_clear(s);
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -313,6 +313,53 @@
 	}
 }
 
+/* Guards against a status that is none and reaches a caller as an answer: of
+ * each framing, also behind an interim answer, before an answer, with the mark
+ * of a request that did not run, and on a connection that stays open. */
+TEST_F(HttpClient, AnAnswerWhoseStatusIsNoneIsNotAccepted)
+{
+	const std::string fields = "Request-Id: a\r\nNot-Run: 1\r\n";
+	const std::string sized = fields + "Content-Length: 1\r\n\r\nx";
+	const std::string chunked =
+		fields +
+		"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n";
+
+	for (std::string status :
+	     { "000", "0", "00", "099", "20", "1000", "2000", "0200", "abc",
+	       "+200", "-200", "20x", "2 0", "600", "999", "", " 200",
+	       "200x" }) {
+		std::string line = "HTTP/1.1 " + status + " Odd\r\n";
+		const std::string answers[] = {
+			line + sized,
+			line + chunked,
+			line + fields + "\r\nx",
+			"HTTP/1.1 103 Early Hints\r\n\r\n" + line + sized,
+			line + sized + answer_to("a"),
+			line + "\r\n" + answer_to("a"),
+		};
+
+		for (const std::string &answer : answers)
+			for (bool close : { true, false }) {
+				ScriptedServer server({ { answer, close },
+							{ answer_to("b") } });
+
+				renew_client();
+				EXPECT_EQ(FP_IO, call(server, "a").status)
+					<< answer << close;
+				EXPECT_EQ("mine", call(server, "b").body)
+					<< answer << close;
+			}
+	}
+	for (std::string status : { "200", "299", "404", "500", "599" }) {
+		ScriptedServer server(
+			{ { "HTTP/1.1 " + status + "\r\n" + sized, true } });
+
+		Result r = call(server, "a");
+		EXPECT_EQ(FP_OK, r.status) << status;
+		EXPECT_EQ(std::stoi(status), r.http_status);
+	}
+}
+
 /* Guards against a request that is called not run, and run again elsewhere,
  * because of the beginning of an earlier refusal: each length of it, in place
  * of the answer on a connection that ends then. */
