A stopping node sends answers to slow readers whole

Cause: a stop waits for open exchanges, and an exchange that was read ahead ended when its answer was handed over, before it was sent. The process logged exchanges=0 while 12 MB were unsent. The listener of the server beside the node was not counted at all.

Change: the answers of both readers are open until they are sent, and a stop waits for both listeners.

--- a/src/transport/http_pipeline.c
+++ b/src/transport/http_pipeline.c
@@ -730,6 +730,18 @@
 	}
 }
 
+uint32_t http_pipeline_unsent(const struct http_pipeline *p)
+{
+	const struct connection *c;
+	const struct http_pipelined *t;
+	uint32_t n = 0;
+
+	for (c = p->open; c; c = c->next)
+		for (t = c->first; t && !c->gone; t = t->next)
+			n += t->answer != NULL;
+	return n;
+}
+
 void http_pipeline_quiesce(struct http_pipeline *p)
 {
 	if (p->listener)
--- a/src/transport/http_pipeline.h
+++ b/src/transport/http_pipeline.h
@@ -81,6 +81,9 @@
 /** Detects clients that left, and closes connections idle for too long. */
 void http_pipeline_sweep(struct http_pipeline *p);
 
+/** Returns the number of answers that are not sent completely. */
+uint32_t http_pipeline_unsent(const struct http_pipeline *p);
+
 /** Stops accepting; open connections are kept. */
 void http_pipeline_quiesce(struct http_pipeline *p);
 
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -622,7 +622,9 @@
 
 uint32_t fp_http_server_open_exchanges(const struct fp_http_server *s)
 {
-	return s->n_open;
+	/* An exchange that was read ahead ends when it is answered. */
+	return s->n_open +
+	       (s->pipeline ? http_pipeline_unsent(s->pipeline) : 0);
 }
 
 /* The library requires that no connection is suspended when it is stopped. */
--- a/test/test_e2e_shutdown.cc
+++ b/test/test_e2e_shutdown.cc
@@ -194,4 +194,113 @@
 	EXPECT_GT(refused, 0);
 }
 
+/* A client that takes an answer at a bounded rate. */
+class SlowReader
+{
+      public:
+	SlowReader(const std::string &ip, const std::string &requests)
+	{
+		struct sockaddr_in sin = {};
+		int bytes = 65536;
+
+		sin.sin_family = AF_INET;
+		sin.sin_port = htons(8001);
+		inet_pton(AF_INET, ip.c_str(), &sin.sin_addr);
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+		EXPECT_EQ(0, connect(fd, (struct sockaddr *)&sin, sizeof(sin)));
+		EXPECT_EQ((ssize_t)requests.size(),
+			  send(fd, requests.data(), requests.size(),
+			       MSG_NOSIGNAL));
+		reader = std::thread([this] { read(); });
+	}
+	~SlowReader()
+	{
+		reader.join();
+		close(fd);
+	}
+	void wait()
+	{
+		while (!ended)
+			usleep(10000);
+	}
+
+	std::atomic<size_t> total{ 0 }; /* bytes received */
+	std::atomic<bool> ended{ false };
+
+      private:
+	void read()
+	{
+		const size_t bytes_per_ms = 3000;
+		int64_t start_us = now_us();
+		char buf[65536];
+		ssize_t n;
+
+		while ((n = recv(fd, buf, sizeof(buf), 0)) > 0) {
+			total += (size_t)n;
+			int64_t ahead_us =
+				(int64_t)(total / bytes_per_ms) * 1000 -
+				(now_us() - start_us);
+			if (ahead_us > 0)
+				usleep((useconds_t)ahead_us);
+		}
+		ended = true;
+	}
+
+	int fd;
+	std::thread reader;
+};
+
+std::string slow_request(const char *method, const char *path, int n)
+{
+	return std::string(method) + " " + path +
+	       " HTTP/1.1\r\nHost: h.example\r\nFulmarpass-Request-Id: slow" +
+	       std::to_string(n) +
+	       "\r\nFulmarpass-Deadline-Ms: 5000\r\nFulmarpass-Key: k1\r\n" +
+	       (method[0] == 'P' ? "Content-Length: 0\r\n\r\n" : "\r\n");
+}
+
+class HostedSlow : public Hosted
+{
+      protected:
+	/* Stops a node while clients read answers slowly: 12 MB at 3 MB a
+	 * second, which lasts longer than the time in which a stopping node
+	 * accepts requests. Each client sends the given requests at once. */
+	void expect_whole(const std::vector<std::string> &clients)
+	{
+		std::vector<std::unique_ptr<SlowReader>> readers;
+
+		answer_bytes = 12000000;
+		serve();
+		Machine &m = *machines[1];
+		for (auto &requests : clients)
+			readers.push_back(
+				std::make_unique<SlowReader>(m.ip, requests));
+		for (auto &r : readers)
+			ASSERT_TRUE(wait([&] { return r->total > 0; }));
+		fleet_process_signal(m.node, SIGTERM);
+		for (auto &r : readers) {
+			r->wait();
+			EXPECT_GT(r->total, (size_t)answer_bytes);
+		}
+		EXPECT_TRUE(fleet_process_wait(m.node, 7000));
+		EXPECT_TRUE(log_has(m, "event=drained calls=0 executions=0 "
+				       "exchanges=0"));
+	}
+};
+
+/* Guards against answers that a planned stop cuts while their clients read
+ * them, and the ones behind them. */
+TEST_F(HostedSlow, AStoppingNodeSendsAnswersWhole)
+{
+	expect_whole({ slow_request("GET", "/deep/large", 1),
+		       slow_request("GET", "/deep/large", 2) +
+			       slow_request("GET", "/deep/x", 3) });
+}
+
+TEST_F(HostedSlow, AStoppingNodeSendsAnswersToOrdersWhole)
+{
+	expect_whole({ slow_request("POST", "/order/large", 1) });
+}
+
 } // namespace
--- a/test/test_http_pipeline.cc
+++ b/test/test_http_pipeline.cc
@@ -309,6 +309,37 @@
 	EXPECT_GT(got.size(), 2 * big.size());
 }
 
+/* Guards against a stop that cuts answers which their clients have not read yet:
+ * answers of either reader, and those behind them, are open until they are
+ * sent. */
+TEST_F(HttpPipeline, AnAnswerIsOpenUntilItIsSent)
+{
+	std::string big(4 << 20, 'x');
+	const std::string post =
+		"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+
+	for (const std::string &first : { get("/1"), post }) {
+		paused = true;
+		send_text(first + get("/2"));
+		answer("/1", big);
+		run();
+		if (waiting.count("/2"))
+			answer("/2");
+		run();
+		EXPECT_LE(1u, fp_http_server_open_exchanges(server)) << first;
+		paused = false;
+		run(3000);
+		if (waiting.count("/2"))
+			answer("/2");
+		run();
+		EXPECT_EQ(0u, fp_http_server_open_exchanges(server)) << first;
+		EXPECT_EQ("</2>", order()) << first;
+		close(fd);
+		fd = -1;
+		got.clear();
+	}
+}
+
 TEST_F(HttpPipeline, AllRequestsOfAClientThatLeftAreNotified)
 {
 	send_text(get("/1") + get("/2"));
