--- a/src/node/drain.c
+++ b/src/node/drain.c
@@ -114,8 +114,9 @@
 		return;
 	traffic_withdraw_worker(t, now_us);
 	fp_http_server_quiesce(t->callers);
+	/* The worker repeats an announcement that is not acknowledged. */
 	open = fp_http_server_open_exchanges(t->callers) +
-	       fp_http_server_open_exchanges(t->local);
+	       fp_http_server_open_exchanges(t->local) - t->n_held_acks;
 	if ((t->n_calls || t->n_executions || open ||
 	     fp_peer_has_unsent(t->peers)) &&
 	    now_us < exit_us(t))
--- a/src/node/worker.c
+++ b/src/node/worker.c
@@ -193,7 +193,7 @@
 		w.sequence = e->sequence;
 	w.serving = false;
 	w.leaving = true;
-	w.deregistered = e->deregistered;
+	w.deregistered = e->deregistered || (same && w.deregistered);
 	set_worker(t, &w);
 }
 
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -178,6 +178,10 @@
 	EXPECT_EQ(FP_INVALID,
 		  read_heartbeat("PUT", "/instances/" + std::string(256, 'a'),
 				 heartbeat, &a));
+	for (const char *id : { "a\xff", "\xc4", "a\x01", "a\x7f", "a b" })
+		EXPECT_EQ(FP_INVALID,
+			  read_heartbeat("PUT", std::string("/instances/") + id,
+					 heartbeat, &a));
 	EXPECT_EQ(FP_NOT_FOUND,
 		  read_heartbeat("GET", "/instances/i-7", heartbeat, &a));
 	EXPECT_EQ(FP_NOT_FOUND, read_heartbeat("PUT", "/other", heartbeat, &a));
