A long name is added to the call of a caller only

The command where asks intake_set_org() too, with a call that is not sent and whose texts are not freed: each such question about an organisation with a long name would have leaked its name. The header is added where a caller's key is checked. The command finds an organisation by its whole name now, as by its short form.

--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -111,15 +111,24 @@
 	o = &c->t->config->orgs[org];
 	c->org_index = org;
 	snprintf(c->msg.org, sizeof(c->msg.org), "%s", o->name);
-	if (o->long_name)
-		call_add_header(c, c->t->dialect->org,
-				fp_config_org_name(c->t->config, o));
 	c->msg.org_weight = o->rate_per_s;
 	if (o->has_class)
 		c->msg.cls = o->cls;
 	return FP_REASON_NONE;
 }
 
+/* A message holds a short form of a long name, and the node beside the worker may
+ * not have the configuration yet: the whole name goes with the call. */
+static void add_long_name(struct call *c)
+{
+	const struct fp_config *cfg = c->t->config;
+	const struct fp_org *o = &cfg->orgs[c->org_index];
+
+	if (o->long_name)
+		call_add_header(c, c->t->dialect->org,
+				fp_config_org_name(cfg, o));
+}
+
 /* Sets the organisation of the call from its key. Returns FP_REASON_NONE, or
  * the reason to refuse the request. */
 static enum fp_reason check_key(struct call *c, const struct fp_route *route,
@@ -129,6 +138,7 @@
 	enum fp_status found = FP_NOT_FOUND;
 	uint8_t hash[FP_KEY_HASH_BYTES];
 	uint32_t org = UINT32_MAX;
+	enum fp_reason why;
 
 	c->org_index = UINT32_MAX;
 	c->msg.org_weight = OPEN_ORG_WEIGHT;
@@ -140,7 +150,10 @@
 		fp_key_hash(key, strlen(key), hash);
 		found = fp_config_find_key(c->t->config, hash, &org);
 	}
-	return intake_set_org(c, key != NULL, found, org);
+	why = intake_set_org(c, key != NULL, found, org);
+	if (why == FP_REASON_NONE)
+		add_long_name(c);
+	return why;
 }
 
 /* Sets the earlier of the caller's deadline, if any, and limit_us. */
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -281,10 +281,12 @@
 
 int fp_config_find_org(const struct fp_config *c, const char *name)
 {
+	char short_name[FP_NAME_BYTES];
 	uint32_t i;
 
+	fp_name_shorten(name, short_name);
 	for (i = 0; i < c->n_orgs; i++)
-		if (strcmp(c->orgs[i].name, name) == 0)
+		if (strcmp(c->orgs[i].name, short_name) == 0)
 			return (int)i;
 	return -1;
 }
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -217,7 +217,8 @@
 const char *fp_config_route_service(const struct fp_config *c,
 				    const struct fp_route *r, uint64_t draw);
 
-/** Finds an organisation by name; returns its index or -1. */
+/** Finds an organisation by its name, whole or in the short form; returns its
+ *  index or -1. */
 int fp_config_find_org(const struct fp_config *c, const char *name);
 
 /** Finds a service by name; NULL when the configuration tells nothing of it. */
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -465,6 +465,8 @@
 		ASSERT_EQ(FP_OK, fp_config_find_key(c, hash, &org));
 		EXPECT_EQ(name + "y", fp_config_org_name(c, &c->orgs[org]));
 		EXPECT_EQ((int)org, fp_config_find_org(c, c->orgs[org].name));
+		EXPECT_EQ((int)org,
+			  fp_config_find_org(c, (name + "y").c_str()));
 		EXPECT_STRNE(c->orgs[0].name, c->orgs[1].name);
 		fp_config_end(c);
 	}
