Random schedules of leaving workers and restarts of their node

WorkerEnd.IsKnownToEachLaterProcess plays the decision without a network: processes are killed, stopped and started while workers leave and the store is away, does writes late or loses their answers.

--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -1,6 +1,9 @@
 /* test_directory.cc - the directory with a store that fails in several ways */
 #include "directory_sim.h"
 
+#include <algorithm>
+#include <random>
+
 namespace
 {
 
@@ -405,6 +408,91 @@
 	EXPECT_EQ(n_before, store.items.size());
 }
 
+/*
+ * Guards against a leaving that was acknowledged and is not known to a later
+ * process: processes are killed, stopped as planned and started in random order
+ * while workers leave and the store is away, does writes late, or loses their
+ * answers. FP_SEED plays one seed.
+ */
+TEST_F(WorkerEnd, IsKnownToEachLaterProcess)
+{
+	const char *seed_env = getenv("FP_SEED");
+	uint64_t first = seed_env ? strtoull(seed_env, nullptr, 10) : 1;
+	uint64_t last = seed_env ? first : 20;
+	int n_stored = 0;
+	int n_starts = 0;
+
+	store.leases_expire = true;
+	store.write("op/config", config_json(5));
+	for (uint64_t seed = first; seed <= last; seed++) {
+		std::mt19937_64 random(seed);
+		auto pick = [&](int n) {
+			return (int)(random() % (uint64_t)n);
+		};
+		uint64_t acknowledged = 0; /* sequence */
+		struct fp_worker_end e = { "i-1", 1000, 0, false };
+
+		store.put_delay_ms = [&] {
+			return pick(4) ? 0 : 10 + pick(3000);
+		};
+		for (int step = 0; step < 60; step++) {
+			if (!d) {
+				cfg.self.id++;
+				worker_ends.clear();
+				stored_ends.clear();
+				d = fp_directory_init(loop, &cfg,
+						      &directory_ops);
+				n_starts++;
+			}
+			switch (pick(6)) {
+			case 0:
+				store.fail_status =
+					pick(2) ? FP_UNAVAILABLE : FP_TIMEOUT;
+				break;
+			case 1:
+				store.lose_put_answers = pick(2);
+				break;
+			case 2:
+				e.sequence++;
+				e.deregistered = pick(2);
+				fp_directory_set_worker_end(d, &e);
+				break;
+			default:
+				store.fail_status = FP_OK;
+			}
+			run_ms(pick(900));
+			if (!members.empty()) {
+				uint64_t known = 0;
+
+				for (auto &k : worker_ends)
+					known = std::max(known, k.sequence);
+				for (auto &k : stored_ends)
+					known = std::max(known, k.sequence);
+				ASSERT_LE(acknowledged, known)
+					<< "seed " << seed << " step " << step;
+			}
+			for (auto &k : stored_ends) {
+				acknowledged =
+					std::max(acknowledged, k.sequence);
+				n_stored++;
+			}
+			if (pick(4))
+				continue;
+			if (pick(2))
+				fp_directory_leave(d);
+			end_process(pick(2) ? pick(20) : pick(8000));
+		}
+		store.fail_status = FP_OK;
+		store.lose_put_answers = false;
+		if (d)
+			end_process(0);
+		run_ms(4000); /* late writes */
+		store.items.erase("fulmar/ends/n1");
+	}
+	EXPECT_LT(0, n_stored);
+	EXPECT_LT(1, n_starts);
+}
+
 /* The requirement is two seconds from the store's return. */
 TEST_F(Directory, AnExpiredRecordIsBackWithinTwoSeconds)
 {
