Comments that needed a second reading

What keyless means for an empty table, where long texts stand, why held acknowledgements are not waited for, when a lease is used again.

--- a/src/coordination/directory_worker_end.c
+++ b/src/coordination/directory_worker_end.c
@@ -201,7 +201,7 @@
 	}
 	if (!end->wanted.instance[0] || same_end(&end->wanted, &end->stored))
 		return;
-	/* Half of the lease is long enough for each record. */
+	/* A lease is used again while more than half of it is left. */
 	if (end->lease && fp_mono_us(d->cfg.clock) - end->lease_opened_us <
 				  END_LEASE_US / 2) {
 		write_end(d);
--- a/src/node/drain.c
+++ b/src/node/drain.c
@@ -114,7 +114,8 @@
 		return;
 	traffic_withdraw_worker(t, now_us);
 	fp_http_server_quiesce(t->callers);
-	/* The worker repeats an announcement that is not acknowledged. */
+	/* Held acknowledgements do not delay the exit: the worker repeats the
+	 * announcement to the next process. */
 	open = fp_http_server_open_exchanges(t->callers) +
 	       fp_http_server_open_exchanges(t->local) - t->n_held_acks;
 	if ((t->n_calls || t->n_executions || open ||
--- a/src/state/config.h
+++ b/src/state/config.h
@@ -14,9 +14,10 @@
 #endif
 
 /*
- * A text of an operator may be longer than its array. Such a text is in texts of
- * the configuration, and the field long_... is its position there; 0: the text is
- * in the array. Names are in their arrays in both cases, see fp_name_shorten().
+ * A text of an operator that does not fit into its array is stored in
+ * fp_config.texts, and the field long_... beside the array has its offset there;
+ * 0: the array has the text. Arrays of names always have the form that
+ * fp_name_shorten() returns.
  */
 
 /** An organisation; its rate and burst apply to the whole fleet. */
@@ -138,8 +139,8 @@
 	 *  it matches complete path segments, and a slash at its end, or at that
 	 *  of the path, makes no difference. */
 	bool byte_prefixes;
-	/** The record knows no organisations, which is not the same as having
-	 *  none: no request needs a key. */
+	/** No request needs a key: the record has no table of organisations.
+	 *  With an empty table every route that is not open needs one. */
 	bool keyless;
 	/** Largest body of a caller's request; 0: limited by the settings only. */
 	uint32_t max_body_bytes;
