--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,80 +1,101 @@
-"""A key that is taken away as the store returns from a drill stays in use.
+"""A node that is stopped breaks off a request that it took after 3 s.
 
-Three nodes in one zone serve. The operator's r11 is the first change after the
-copy of the store. The store goes away for 1.5 s and comes back from that copy,
-5 s old. Meanwhile the operator has r12, which takes a key away; it is what he
-writes when the store is back. TROUBLE=0: the store does not go away.
+The clients of n1, the only node of its zone, have connections open and send
+orders on them. Orders take as long as they have lines: most 0.3 s. n1 gets
+SIGTERM. 3.3 s later a client sends an order that takes 2.6 s; n1 passes it on
+and exits while the worker runs it. TROUBLE=0: n1 is not stopped.
 """
 import os
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, '..', 'rig-3'))
-from rig import (Rig, main, request_headers, route, threading, time)  # noqa
+from rig import (main, request_headers, route, signal, threading, time)  # noqa
 
-KEY = 'kx7rmq2vta9dpw4hs0eb'
-OTHER = 'q8znc5yfu3jg1ol6xt7w'
-NEW = 'w3hbd8kpv0ra6tzy2mcx'
-REVOKE_S = 5.0
-WATCHED_S = 15.0
+LINE = b'one line of an order: forty bytes of it\n'
+LINE_S = 0.01
+USUAL_LINES = 30
+LONG_LINES = 260
+DEADLINE_MS = 5000
+PERIOD_S = 0.1
+N_CONNECTIONS = 60
+LATE_S = 3.3      # after the SIGTERM; the rule excuses up to 3 s
+GRACE_S = 6.0
 
 
 def case(rig, trouble):
-    routes = {'ra': route('/front/', 'safe', 'front', public=False),
-              'rb': route('/deep/', 'unsafe', 'deep', public=False)}
+    rig.config(10, {'ra': route('/order/', 'unsafe', 'deep',
+                                timeout='5000ms')})
+    a = rig.machine('n1', 'front', zone='z1')
+    b = rig.machine('n2', 'deep', zone='z2', slots=64,
+                    work=lambda r: LINE_S * (len(r[5]) // len(LINE)))
 
-    def write(version, *keys):
-        rig.config(version, routes,
-                   {'t1': {'apiKeys': list(keys), 'priority': 1}})
-
-    def ask(node, key):
+    def order(connection, lines):
         ident = rig.new_id()
-        answer = node.connect().request('POST', '/deep/x',
-                                        request_headers(ident, 3000, key))
-        rig.record('%s with key %s.. to %s: %s' % (ident, key[:3], node.name,
-                                                   answer))
-        return ident, answer.status
+        answer = connection.request('POST', '/order/x', request_headers(
+            ident, DEADLINE_MS), LINE * lines)
+        rig.record('%s, %d lines: %s' % (ident, lines, answer))
+        return ident, answer
+
+    def probe():
+        """The platform asks each second whether the node is ready."""
+        while not stop.is_set():
+            rig.record('ready of n1: %s' % a.ready())
+            stop.wait(1.0)
+
+    def usual(connection):
+        try:
+            order(connection, USUAL_LINES)
+        except OSError as e:
+            rig.record('a usual order was not sent: %s' % e)
 
-    write(10, KEY, OTHER)
-    nodes = [rig.machine('n1', 'front'), rig.machine('n2', 'deep'),
-             rig.machine('n3', 'front')]
-    rig.wait('ready', lambda: all(n.ready() for n in nodes))
-    rig.wait('served', lambda: all(ask(n, KEY)[1] == 200 for n in nodes))
-    time.sleep(8)    # the fleet is quiet: nothing writes to the store
-    copy = rig.store.copy()
-    rig.record('copy of the store at revision %d' % copy[3])
-    time.sleep(1)
-    write(11, KEY, OTHER, NEW)
-    rig.record('revision %d' % rig.store.revision)
-    time.sleep(2.5)
+    stop = threading.Event()
+    rig.wait('ready', lambda: a.ready() and b.ready())
+    rig.wait('served', lambda: order(a.connect(), 1)[1].status == 200)
+    threading.Thread(target=probe, daemon=True).start()
+    # The connections of a busier moment stay open.
+    pool = [a.connect() for _ in range(N_CONNECTIONS)]
+    threads = [threading.Thread(target=usual, args=(c,)) for c in pool]
+    for t in threads:
+        t.start()
+    for t in threads:
+        t.join()
+    long_one = pool.pop()
     if trouble:
-        rig.store.go_away()
-        rig.record('the store is away')
-        operator = threading.Thread(target=write, args=(12, OTHER, NEW))
-        operator.start()
-        time.sleep(1.5)
-        rig.store.come_back(copy, 5.0)
-        rig.record('the store is back from the copy, era %d' % rig.store.era)
-        operator.join()
-    else:
-        write(12, OTHER, NEW)
-    acked = time.monotonic()
-    rig.record('revision %d' % rig.store.revision)
-    late = 0
-    while time.monotonic() - acked < WATCHED_S:
-        time.sleep(0.5)
-        for n in nodes:
-            since = time.monotonic() - acked
-            ident, _ = ask(n, KEY)
-            ran = any(w.n_runs(ident) for w in rig.workers)
-            if ran and since > REVOKE_S:
-                late += 1
-                rig.record('%s ran; it was sent %.1f s after the '
-                           'acknowledgement of r12' % (ident, since))
-        ask(nodes[0], OTHER)
-    rig.record('%d requests with the key ran that were sent more than %g s '
-               'after the acknowledgement' % (late, REVOKE_S))
-    return late > 0
+        a.signal(signal.SIGTERM)
+    start = time.monotonic()
+    late = False
+    result = {}
+
+    def send_long():
+        result['sent_s'] = time.monotonic() - start
+        ident, answer = order(long_one, LONG_LINES)
+        result.update(ident=ident, answer=answer,
+                      ended_s=time.monotonic() - start)
+
+    n = 0
+    while time.monotonic() - start < 5.5 and pool:
+        if not late and time.monotonic() - start >= LATE_S:
+            late = True
+            threading.Thread(target=send_long, daemon=True).start()
+        threading.Thread(target=usual, args=(pool.pop(),),
+                         daemon=True).start()
+        n += 1
+        time.sleep(max(0, start + n * PERIOD_S - time.monotonic()))
+    time.sleep(3.0)
+    stop.set()
+    if 'answer' not in result:
+        rig.record('the long order has no end')
+        return True
+    ran = b.worker.n_runs(result['ident']) > 0
+    rig.record('the long order was sent %.2f s after the SIGTERM and ended '
+               'after %.2f s: %s; it ran: %s' % (
+                   result['sent_s'], result['ended_s'], result['answer'], ran))
+    # Passed on to a worker, and the connection ended without an answer, or with
+    # one of the node's own, before the deadline and before 1 s after grace.
+    own = 'Fulmarpass-Response-Signature' not in dict(result['answer'].headers)
+    return (ran and own and result['ended_s'] < GRACE_S + 1 and
+            result['ended_s'] - result['sent_s'] < DEADLINE_MS / 1000)
 
 
 main(HERE, case)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,101 +1,69 @@
-"""A node that is stopped breaks off a request that it took after 3 s.
+"""Workers that joined shortly before a drill of the store get no requests.
 
-The clients of n1, the only node of its zone, have connections open and send
-orders on them. Orders take as long as they have lines: most 0.3 s. n1 gets
-SIGTERM. 3.3 s later a client sends an order that takes 2.6 s; n1 passes it on
-and exits while the worker runs it. TROUBLE=0: n1 is not stopped.
+Two nodes of `fresh` run, their workers do not yet. The store is copied, the
+workers start, and the operator adds a route to `fresh`, which is served. The
+store goes away for 1.5 s and comes back from the copy; the operator writes the
+same configuration again, and the workers go on announcing themselves. TROUBLE=0:
+the store does not go away.
 """
 import os
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, '..', 'rig-3'))
-from rig import (main, request_headers, route, signal, threading, time)  # noqa
+from rig import (Worker, main, request_headers, route, threading, time)  # noqa
 
-LINE = b'one line of an order: forty bytes of it\n'
-LINE_S = 0.01
-USUAL_LINES = 30
-LONG_LINES = 260
-DEADLINE_MS = 5000
-PERIOD_S = 0.1
-N_CONNECTIONS = 60
-LATE_S = 3.3      # after the SIGTERM; the rule excuses up to 3 s
-GRACE_S = 6.0
+STEADY_S = 8.0      # after the return; `contact` is 3 s, `configApply` 2 s
+N_ASKED = 20        # of each route at each machine with clients
 
 
 def case(rig, trouble):
-    rig.config(10, {'ra': route('/order/', 'unsafe', 'deep',
-                                timeout='5000ms')})
-    a = rig.machine('n1', 'front', zone='z1')
-    b = rig.machine('n2', 'deep', zone='z2', slots=64,
-                    work=lambda r: LINE_S * (len(r[5]) // len(LINE)))
+    first = {'ra': route('/front/', 'safe', 'front')}
+    both = dict(first, rb=route('/fresh/', 'safe', 'fresh'))
+    rig.config(10, first)
+    front = [rig.machine('n%d' % i, 'front') for i in (1, 2)]
+    fresh = [rig.machine('n%d' % i, 'fresh', worker=False) for i in (3, 4)]
 
-    def order(connection, lines):
+    def ask(node, path):
         ident = rig.new_id()
-        answer = connection.request('POST', '/order/x', request_headers(
-            ident, DEADLINE_MS), LINE * lines)
-        rig.record('%s, %d lines: %s' % (ident, lines, answer))
-        return ident, answer
+        answer = node.connect().request('GET', path,
+                                        request_headers(ident, 2000))
+        rig.record('%s at %s: %s' % (path, node.name, answer))
+        return answer.status == 200
 
-    def probe():
-        """The platform asks each second whether the node is ready."""
-        while not stop.is_set():
-            rig.record('ready of n1: %s' % a.ready())
-            stop.wait(1.0)
-
-    def usual(connection):
-        try:
-            order(connection, USUAL_LINES)
-        except OSError as e:
-            rig.record('a usual order was not sent: %s' % e)
-
-    stop = threading.Event()
-    rig.wait('ready', lambda: a.ready() and b.ready())
-    rig.wait('served', lambda: order(a.connect(), 1)[1].status == 200)
-    threading.Thread(target=probe, daemon=True).start()
-    # The connections of a busier moment stay open.
-    pool = [a.connect() for _ in range(N_CONNECTIONS)]
-    threads = [threading.Thread(target=usual, args=(c,)) for c in pool]
-    for t in threads:
-        t.start()
-    for t in threads:
-        t.join()
-    long_one = pool.pop()
+    rig.wait('ready', lambda: all(n.ready() for n in front + fresh))
+    rig.wait('served', lambda: all(ask(n, '/front/x') for n in front))
+    time.sleep(8)
+    copy = rig.store.copy()
+    rig.record('copy of the store at revision %d' % copy[3])
+    for n in fresh:
+        n.worker = Worker(n.ip, 'fresh', 'i-' + n.name, rig.record)
+        rig.workers.append(n.worker)
+        rig.record('worker i-%s starts' % n.name)
+        time.sleep(0.6)
+    rig.config(11, both)
+    rig.wait('fresh served', lambda: all(ask(n, '/fresh/x') for n in front))
+    rig.record('revision %d' % rig.store.revision)
     if trouble:
-        a.signal(signal.SIGTERM)
-    start = time.monotonic()
-    late = False
-    result = {}
-
-    def send_long():
-        result['sent_s'] = time.monotonic() - start
-        ident, answer = order(long_one, LONG_LINES)
-        result.update(ident=ident, answer=answer,
-                      ended_s=time.monotonic() - start)
-
-    n = 0
-    while time.monotonic() - start < 5.5 and pool:
-        if not late and time.monotonic() - start >= LATE_S:
-            late = True
-            threading.Thread(target=send_long, daemon=True).start()
-        threading.Thread(target=usual, args=(pool.pop(),),
-                         daemon=True).start()
-        n += 1
-        time.sleep(max(0, start + n * PERIOD_S - time.monotonic()))
-    time.sleep(3.0)
-    stop.set()
-    if 'answer' not in result:
-        rig.record('the long order has no end')
-        return True
-    ran = b.worker.n_runs(result['ident']) > 0
-    rig.record('the long order was sent %.2f s after the SIGTERM and ended '
-               'after %.2f s: %s; it ran: %s' % (
-                   result['sent_s'], result['ended_s'], result['answer'], ran))
-    # Passed on to a worker, and the connection ended without an answer, or with
-    # one of the node's own, before the deadline and before 1 s after grace.
-    own = 'Fulmarpass-Response-Signature' not in dict(result['answer'].headers)
-    return (ran and own and result['ended_s'] < GRACE_S + 1 and
-            result['ended_s'] - result['sent_s'] < DEADLINE_MS / 1000)
+        rig.store.go_away()
+        rig.record('the store is away')
+        operator = threading.Thread(target=rig.config, args=(11, both))
+        operator.start()
+        time.sleep(1.5)
+        rig.store.come_back(copy, 5.0)
+        rig.record('the store is back from the copy, era %d' % rig.store.era)
+        operator.join()
+    time.sleep(STEADY_S)
+    served = {'/front/x': 0, '/fresh/x': 0}
+    for _ in range(N_ASKED):
+        for n in front:
+            for path in served:
+                served[path] += ask(n, path)
+        time.sleep(0.25)
+    asked = N_ASKED * len(front)
+    rig.record('served: %d of %d on the first route, %d of %d on the later '
+               'one' % (served['/front/x'], asked, served['/fresh/x'], asked))
+    return served['/fresh/x'] * 4 < served['/front/x']
 
 
 main(HERE, case)
