A revision names a write only together with the epoch of the store

If a version that was in force is lost, the keys of the next one are refused as well.

Cause: the counter of the store goes back with the copy, and the new record gets the revision of the lost one. on_config() decodes a record only if its revision has changed, and confirms it as the newest in any case, also one that is older than the version in force.

Change: a revision holds the epoch of the store, which the store's client reads from every answer, above the store's counter. So every comparison of revisions orders changes of two epochs, here and in messages between nodes. A record that is older than a configuration known here or at the delegate confirms nothing.

--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -11,7 +11,10 @@
  *			answer confirms that the record was the newest when the
  *			request was sent. A watch would not confirm that: it
  *			receives nothing for a while when the store drops the
- *			history that the watch reads.
+ *			history that the watch reads. A record that is older
+ *			than a configuration known here or at a neighbour
+ *			confirms nothing: the store has come back from a copy,
+ *			and what it lost may have withdrawn a key.
  *	own_record	keeps this node's record under a renewed lease
  *	members		lists all records, then watches them; lists them again
  *			when a missing record reaches its timeout
@@ -183,6 +186,17 @@
 	memset(t, 0, sizeof(*t));
 }
 
+void directory_note_config_revision(struct fp_directory *d, uint64_t revision)
+{
+	if (revision > d->newest_revision)
+		d->newest_revision = revision;
+}
+
+bool directory_record_is_old(const struct fp_directory *d)
+{
+	return d->config_valid && d->record_revision < d->newest_revision;
+}
+
 bool directory_apply_config(struct fp_directory *d, const char *text,
 			    size_t bytes, uint64_t item_revision)
 {
@@ -190,11 +204,19 @@
 
 	if (d->cfg.dialect->config(text, bytes, &c) != FP_OK) {
 		fp_log(FP_LOG_ERROR, "config_refused",
-		       "item_revision=%" PRIu64 " why=\"%s\"", item_revision,
-		       fp_last_message());
+		       "item_revision=" FP_REVISION_FORMAT " why=\"%s\"",
+		       FP_REVISION_ARGS(item_revision), fp_last_message());
 		return false;
 	}
-	/* Answers of the store may be reordered; ignore an older revision. */
+	d->record_revision = c->revision;
+	directory_note_config_revision(d, c->revision);
+	if (c->revision < d->newest_revision)
+		fp_log(FP_LOG_WARN, "config_old",
+		       "revision=%" PRIu64 " newest=%" PRIu64
+		       " item_revision=" FP_REVISION_FORMAT,
+		       c->revision, d->newest_revision,
+		       FP_REVISION_ARGS(item_revision));
+	/* An older one never replaces the configuration in force. */
 	if (c->revision <= d->revision) {
 		fp_config_end(c);
 		return true;
@@ -264,18 +286,18 @@
 	d->n_delegates_failed = 0;
 	d->config_read_us = d->config_requested_us;
 	directory_task_succeeded(&d->config);
-	if (d->config_listed)
-		directory_read_evacuation(d, r);
 	if (it->revision != d->config_item_revision)
 		d->config_valid =
 			directory_apply_config(d, (const char *)it->value,
 					       it->value_bytes, it->revision);
+	if (d->config_listed && !directory_record_is_old(d))
+		directory_read_evacuation(d, r);
 	if (it->revision != d->read_text.item_revision)
 		keep_text(d, it);
 	d->config_item_revision = it->revision;
 	/* A record that cannot be decoded may withdraw a key, so the old
 	 * configuration must not be confirmed as fresh. */
-	if (d->config_valid)
+	if (d->config_valid && !directory_record_is_old(d))
 		d->ops.config_confirmed(d->ops.ctx, d->config_requested_us);
 	directory_answer_followers(d, FP_OK);
 	directory_schedule(&d->config, next_us > now_us ? next_us - now_us : 0);
--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -174,7 +174,8 @@
 
 	d->own_revision = r->n_items ? r->items[0].revision : 0;
 	fp_log(FP_LOG_WARN, "own_record_conflict",
-	       "expected=%" PRIu64 " found=%" PRIu64, known, d->own_revision);
+	       "expected=" FP_REVISION_FORMAT " found=" FP_REVISION_FORMAT,
+	       FP_REVISION_ARGS(known), FP_REVISION_ARGS(d->own_revision));
 	if (d->own_revision == known)
 		directory_task_failed(&d->own_record, r->status);
 	else
@@ -412,7 +413,8 @@
 	if (!d->counted || d->leaving)
 		return;
 	fp_log(FP_LOG_WARN, "own_record_lost",
-	       "by=%016" PRIx64 " revision=%" PRIu64, id, changed_revision);
+	       "by=%016" PRIx64 " revision=" FP_REVISION_FORMAT, id,
+	       FP_REVISION_ARGS(changed_revision));
 	d->counted = false;
 	/* The lease of another process's record may end at any time, and the
 	 * others remove the member REMOVE_AFTER_US later. */
@@ -490,8 +492,9 @@
 	rec->member = m;
 	fp_log(FP_LOG_INFO, "member_seen",
 	       "member=%s id=%016" PRIx64 " service=%s slots=%u serving=%d "
-	       "revision=%" PRIu64,
-	       m.name, m.id, m.service, m.slots, m.serving, it->revision);
+	       "revision=" FP_REVISION_FORMAT,
+	       m.name, m.id, m.service, m.slots, m.serving,
+	       FP_REVISION_ARGS(it->revision));
 	return true;
 }
 
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -89,6 +89,10 @@
 	bool was_removed; /* others may have removed this node before its
 			  * last write */
 	uint64_t revision; /* of the configuration in force */
+	uint64_t newest_revision; /* of any configuration that this node or one
+				   * that it has heard from has read */
+	uint64_t record_revision; /* of the configuration in the last record
+				   * that was decoded */
 	bool has_cold_rate; /* of a service of a configuration so far */
 	bool config_listed; /* the open read lists all keys of operators */
 	struct fp_evacuation evacuation; /* revision 0: never read */
@@ -135,6 +139,11 @@
 /** Applies a record of the store; returns whether it could be decoded. */
 bool directory_apply_config(struct fp_directory *d, const char *text,
 			    size_t bytes, uint64_t item_revision);
+/** Notes a revision of the configuration that this node or another one knows. */
+void directory_note_config_revision(struct fp_directory *d, uint64_t revision);
+/** Whether the last record may be older than the configuration in force: the
+ *  store came back from a copy. It confirms nothing. */
+bool directory_record_is_old(const struct fp_directory *d);
 /** Frees the text of a record. */
 void directory_text_clear(struct directory_text *t);
 
--- a/src/coordination/directory_relay.c
+++ b/src/coordination/directory_relay.c
@@ -9,6 +9,10 @@
  * number of calls to the store grows with domains and changes, not with nodes,
  * and a node that the store refuses still gets new records.
  *
+ * The answer also names the newest configuration that the delegate knows. While the
+ * store, back from an older copy, holds an earlier one, nobody that has heard of
+ * the later one counts the record as confirmed.
+ *
  * The delegate also sends the changes of member records since the revision in a
  * follower's request, as soon as it receives them, so that followers need not
  * watch the store. Lost updates are sent again, because the next request names
@@ -238,6 +242,7 @@
 
 	m.confirm_response.status = st;
 	m.confirm_response.item_revision = d->config_item_revision;
+	m.confirm_response.newest_revision = d->newest_revision;
 	m.confirm_response.age_us =
 		fp_mono_us(d->cfg.clock) - d->config_read_us;
 	m.confirm_response.members_complete =
@@ -313,8 +318,10 @@
 
 	if (active != d->feed.active)
 		fp_log(FP_LOG_INFO, "member_feed",
-		       "active=%d delegate=%016" PRIx64 " revision=%" PRIu64,
-		       active, d->delegate_id, d->members_revision);
+		       "active=%d delegate=%016" PRIx64
+		       " revision=" FP_REVISION_FORMAT,
+		       active, d->delegate_id,
+		       FP_REVISION_ARGS(d->members_revision));
 	d->feed.active = active;
 	if (active)
 		d->n_own_watches = 0;
@@ -411,7 +418,7 @@
 	d->config_item_revision = t->item_revision;
 	directory_text_clear(t);
 	directory_text_clear(&d->read_text); /* older */
-	if (d->config_valid)
+	if (d->config_valid && !directory_record_is_old(d))
 		d->ops.config_confirmed(d->ops.ctx,
 					d->config_requested_us - age_us);
 	directory_schedule(&d->config, d->config_valid ? REQUEST_DELAY_US : 0);
@@ -459,11 +466,12 @@
 	}
 	d->delegate_pending = false;
 	d->n_delegates_failed = 0;
+	directory_note_config_revision(d, response->newest_revision);
 	directory_apply_evacuation(d, &response->evacuation, "delegate",
 				   response->age_us);
 	check_feed(d, response);
 	d->newer_reported = response->item_revision != d->config_item_revision;
-	if (!d->newer_reported)
+	if (!d->newer_reported && !directory_record_is_old(d))
 		d->ops.config_confirmed(d->ops.ctx, d->config_requested_us -
 							    response->age_us);
 	if (d->newer_reported)
--- a/src/coordination/directory_worker_end.c
+++ b/src/coordination/directory_worker_end.c
@@ -93,9 +93,10 @@
 	}
 	fp_log(FP_LOG_INFO, "worker_end_read",
 	       "instance=%s born_ms=%" PRId64 " sequence=%" PRIu64
-	       " left=%d revision=%" PRIu64,
+	       " left=%d revision=" FP_REVISION_FORMAT,
 	       end->stored.instance, end->stored.started_ms,
-	       end->stored.sequence, end->stored.deregistered, end->revision);
+	       end->stored.sequence, end->stored.deregistered,
+	       FP_REVISION_ARGS(end->revision));
 	d->ops.worker_ended(d->ops.ctx, &end->stored);
 }
 
@@ -121,8 +122,10 @@
 	const struct fp_worker_end *e = &d->end.stored;
 
 	fp_log(FP_LOG_INFO, "worker_end_stored",
-	       "instance=%s sequence=%" PRIu64 " left=%d revision=%" PRIu64,
-	       e->instance, e->sequence, e->deregistered, d->end.revision);
+	       "instance=%s sequence=%" PRIu64
+	       " left=%d revision=" FP_REVISION_FORMAT,
+	       e->instance, e->sequence, e->deregistered,
+	       FP_REVISION_ARGS(d->end.revision));
 	d->ops.worker_end_stored(d->ops.ctx, e);
 }
 
--- a/src/coordination/evacuation.c
+++ b/src/coordination/evacuation.c
@@ -23,18 +23,19 @@
 			   const struct fp_evacuation *to, const char *event,
 			   const char *source, int64_t age_us)
 {
+	uint64_t revision =
+		from->revision > to->revision ? from->revision : to->revision;
 	char word[FP_LOG_VALUE_BYTES];
 	uint32_t i;
 
 	for (i = 0; i < from->n; i++)
 		if (!fp_evacuation_has(to, from->domains[i]))
 			fp_log(FP_LOG_INFO, event,
-			       "domain=%s revision=%" PRIu64
+			       "domain=%s revision=" FP_REVISION_FORMAT
 			       " source=%s age_ms=%" PRId64,
 			       fp_log_sanitize(from->domains[i], word),
-			       from->revision > to->revision ? from->revision :
-							       to->revision,
-			       source, age_us / FP_US_PER_MS);
+			       FP_REVISION_ARGS(revision), source,
+			       age_us / FP_US_PER_MS);
 }
 
 void directory_apply_evacuation(struct fp_directory *d,
--- a/src/coordination/store_client.c
+++ b/src/coordination/store_client.c
@@ -50,7 +50,7 @@
 
 	snprintf(url, sizeof(url), "%s%s", c->base, call->path);
 	fp_counter_add(c->calls[call->kind], 1);
-	if (fp_http_send(c->http, &o, done, ctx, NULL) != FP_OK)
+	if (fp_http_send(c->http, &o, done, ctx, call->handle) != FP_OK)
 		done(ctx, &failed);
 }
 
--- a/src/coordination/store_client.h
+++ b/src/coordination/store_client.h
@@ -36,6 +36,9 @@
 	const char *body; /**< JSON text, or NULL */
 	int64_t extra_us; /**< added to the timeout: the store's waiting time */
 	bool once; /**< do not resend on a new connection */
+	/** Set to a handle for fp_http_cancel(), valid until done is called;
+	 *  may be NULL. */
+	struct fp_http_send **handle;
 };
 
 /**
--- a/src/protocol/msg_shared.c
+++ b/src/protocol/msg_shared.c
@@ -402,6 +402,7 @@
 {
 	code_status(c, &m->confirm_response.status);
 	code_u64(c, &m->confirm_response.item_revision, UINT64_MAX);
+	code_u64(c, &m->confirm_response.newest_revision, UINT64_MAX);
 	code_span(c, &m->confirm_response.age_us);
 	code_bool(c, &m->confirm_response.members_complete);
 	code_u64(c, &m->confirm_response.members_revision, UINT64_MAX);
@@ -464,7 +465,7 @@
 	[FP_MSG_CONFIRM_REQUEST -
 		FP_MSG_GRANT_REQUEST] = { 1, code_confirm_request },
 	[FP_MSG_CONFIRM_RESPONSE -
-		FP_MSG_GRANT_REQUEST] = { 7, code_confirm_response },
+		FP_MSG_GRANT_REQUEST] = { 8, code_confirm_response },
 	[FP_MSG_MEMBER_CHANGE -
 		FP_MSG_GRANT_REQUEST] = { 5, code_member_change },
 	[FP_MSG_MEMBER_CHANGES_END -
--- a/src/protocol/msg_shared.h
+++ b/src/protocol/msg_shared.h
@@ -148,6 +148,8 @@
 	enum fp_status status; /**< FP_OK; FP_UNAVAILABLE: no confirmation, the
 				*   receiver must read the store itself */
 	uint64_t item_revision; /**< store revision of the record's item */
+	uint64_t newest_revision; /**< newest configuration that the sender
+				   *   knows; that of the record may be older */
 	int64_t age_us; /**< time since the store was read */
 	bool members_complete; /**< the sender has sent all changes between the
 				*   requested members_revision and its own */
--- a/test/directory_sim.h
+++ b/test/directory_sim.h
@@ -60,6 +60,7 @@
 		uint64_t lease;
 		std::vector<std::pair<std::string, item>> items;
 		std::vector<bool> removed;
+		uint64_t epoch = 0;
 	};
 	struct waiting {
 		std::string prefix;
@@ -97,6 +98,7 @@
 		}
 		r.status = p->status;
 		r.revision = p->revision;
+		r.epoch = p->epoch;
 		r.lease = p->lease;
 		r.items = list.data();
 		r.n_items = list.size();
@@ -119,6 +121,7 @@
 
 	void send(pending *p)
 	{
+		p->epoch = epoch;
 		if (hold_answers)
 			held.push_back(p);
 		else
@@ -161,6 +164,46 @@
 			remove(key);
 	}
 
+	/* What the store holds; returned by copy(). */
+	struct contents {
+		std::map<std::string, item> items;
+		std::map<uint64_t, bool> leases;
+		std::vector<std::pair<uint64_t, std::string>> removals;
+		uint64_t revision;
+	};
+	uint64_t epoch = 0;
+
+	contents copy() const
+	{
+		return { items, leases, removals, revision };
+	}
+
+	/* Comes back from a copy: writes and leases of after it are lost, and
+	 * their revisions are given out again, in a new epoch. */
+	void restore(const contents &c)
+	{
+		auto requalify = [this](uint64_t r) {
+			return fp_revision(epoch, fp_revision_counter(r));
+		};
+		std::vector<waiting> all;
+
+		epoch++;
+		items = c.items;
+		leases = c.leases;
+		removals = c.removals;
+		revision = requalify(c.revision);
+		for (auto &i : items)
+			i.second.revision = requalify(i.second.revision);
+		for (auto &r : removals)
+			r.first = requalify(r.first);
+		for (auto &l : leases)
+			renewed_us[l.first] = fp_loop_now_us(loop);
+		all.swap(watches);
+		for (auto &w : all)
+			send(new pending{
+				w.done, w.ctx, FP_EXHAUSTED, 0, 0, {}, {} });
+	}
+
 	/* Answers the watches that have changes. */
 	void notify_watches()
 	{
@@ -309,7 +352,8 @@
 					    end_us + FP_US_PER_S });
 			return;
 		}
-		if (f->fail_status != FP_OK || after < f->compacted) {
+		if (f->fail_status != FP_OK || after < f->compacted ||
+		    fp_revision_epoch(after) != f->epoch) {
 			pending *p = f->start("watch", done, ctx);
 
 			if (p->status == FP_OK)
--- a/test/standin/lib_platform.c
+++ b/test/standin/lib_platform.c
@@ -26,14 +26,24 @@
 	int64_t lease; /* 0: none */
 };
 
-struct platform_store {
-	struct server *server;
-	pthread_mutex_t lock;
+/* What the store keeps, and loses when it comes back from a copy. */
+struct store_data {
 	struct item items[MAX_ITEMS];
 	int n_items;
 	int64_t revision;
 	int64_t next_lease;
 	int64_t expired_below; /* leases with lower ids have expired */
+};
+
+struct platform_copy {
+	struct store_data data;
+};
+
+struct platform_store {
+	struct server *server;
+	pthread_mutex_t lock;
+	struct store_data data;
+	int era; /* rises each time that the store comes back from a copy */
 	int calls;
 	enum platform_fault fault;
 };
@@ -87,9 +97,9 @@
 {
 	int i;
 
-	for (i = 0; i < s->n_items; i++)
-		if (strcmp(s->items[i].key, key) == 0)
-			return &s->items[i];
+	for (i = 0; i < s->data.n_items; i++)
+		if (strcmp(s->data.items[i].key, key) == 0)
+			return &s->data.items[i];
 	return NULL;
 }
 
@@ -100,15 +110,15 @@
 	struct item *it = find_item(s, key);
 
 	if (!it) {
-		if (s->n_items == MAX_ITEMS)
+		if (s->data.n_items == MAX_ITEMS)
 			abort();
-		it = &s->items[s->n_items++];
+		it = &s->data.items[s->data.n_items++];
 		snprintf(it->key, sizeof(it->key), "%s", key);
 	}
 	free(it->value);
 	it->value = value;
 	it->lease = lease;
-	it->revision = ++s->revision;
+	it->revision = ++s->data.revision;
 }
 
 static json_t *item_json(const struct item *it)
@@ -129,8 +139,8 @@
 	json_t *list = json_array();
 	int i;
 
-	for (i = 0; i < s->n_items; i++) {
-		const struct item *it = &s->items[i];
+	for (i = 0; i < s->data.n_items; i++) {
+		const struct item *it = &s->data.items[i];
 
 		if (strncmp(it->key, prefix, strlen(prefix)) == 0 &&
 		    it->revision > after && (removed || it->value))
@@ -139,6 +149,24 @@
 	return list;
 }
 
+/* Answers with the store's era, as all answers do. */
+static enum MHD_Result answer(struct platform_store *s, struct serve_request *r,
+			      int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+	enum MHD_Result rc;
+	char era[16];
+
+	pthread_mutex_lock(&s->lock);
+	snprintf(era, sizeof(era), "%d", s->era);
+	pthread_mutex_unlock(&s->lock);
+	rc = serve_bytes(r, (unsigned int)status, text, strlen(text),
+			 "Store-Era", era);
+	free(text);
+	json_decref(body);
+	return rc;
+}
+
 static enum MHD_Result handle_get(struct platform_store *s,
 				  struct serve_request *r)
 {
@@ -148,9 +176,9 @@
 	pthread_mutex_lock(&s->lock);
 	it = find_item(s, serve_query(r, "key"));
 	j = it && it->value ? item_json(it) : json_object();
-	json_object_set_new(j, "storeRevision", json_integer(s->revision));
+	json_object_set_new(j, "storeRevision", json_integer(s->data.revision));
 	pthread_mutex_unlock(&s->lock);
-	return serve_json(r, json_object_get(j, "value") ? 200 : 404, j);
+	return answer(s, r, json_object_get(j, "value") ? 200 : 404, j);
 }
 
 static enum MHD_Result handle_range(struct platform_store *s,
@@ -162,9 +190,9 @@
 	json_object_set_new(j, "items",
 			    collect(s, serve_query(r, "pathPrefix"), 0, false));
 	json_object_set_new(j, "hasMore", json_false());
-	json_object_set_new(j, "storeRevision", json_integer(s->revision));
+	json_object_set_new(j, "storeRevision", json_integer(s->data.revision));
 	pthread_mutex_unlock(&s->lock);
-	return serve_json(r, 200, j);
+	return answer(s, r, 200, j);
 }
 
 /* The fault of a call: that of its address if it has one, else the store's. */
@@ -187,30 +215,39 @@
 	int64_t after = (int64_t)serve_query_number(r, "after", 0);
 	json_t *events = NULL;
 	int64_t revision;
+	bool cut;
+	int era;
 
+	pthread_mutex_lock(&s->lock);
+	era = s->era;
+	cut = after > s->data.revision;
+	pthread_mutex_unlock(&s->lock);
+	if (cut)
+		return answer(s, r, 410, json_object());
 	for (;;) {
 		json_decref(events);
 		pthread_mutex_lock(&s->lock);
+		cut = era != s->era;
 		events = collect(s, serve_query(r, "pathPrefix"), after, true);
-		revision = s->revision;
+		revision = s->data.revision;
 		pthread_mutex_unlock(&s->lock);
-		if (json_array_size(events) || now_ms() >= end_ms ||
+		if (cut || json_array_size(events) || now_ms() >= end_ms ||
 		    serve_client_closed(r))
 			break;
 		usleep(WATCH_POLL_MS * 1000);
 	}
-	if (e && effective_fault(s, e) == PLATFORM_NO_ANSWER) {
+	if (cut || (e && effective_fault(s, e) == PLATFORM_NO_ANSWER)) {
 		json_decref(events);
 		return MHD_NO;
 	}
-	return serve_json(r, 200,
-			  json_pack("{s:o,s:I}", "events", events,
-				    "storeRevision", (json_int_t)revision));
+	return answer(s, r, 200,
+		      json_pack("{s:o,s:I}", "events", events, "storeRevision",
+				(json_int_t)revision));
 }
 
 static bool lease_is_valid(const struct platform_store *s, int64_t lease)
 {
-	return lease >= s->expired_below && lease < s->next_lease;
+	return lease >= s->data.expired_below && lease < s->data.next_lease;
 }
 
 /* Runs a transaction; returns its HTTP status: 200 if it took effect, 412 if a
@@ -254,10 +291,10 @@
 {
 	int i;
 
-	for (i = 0; i < s->n_items; i++)
-		if (s->items[i].value && s->items[i].lease >= from &&
-		    s->items[i].lease < below)
-			set_item(s, s->items[i].key, NULL, 0);
+	for (i = 0; i < s->data.n_items; i++)
+		if (s->data.items[i].value && s->data.items[i].lease >= from &&
+		    s->data.items[i].lease < below)
+			set_item(s, s->data.items[i].key, NULL, 0);
 }
 
 /* Runs a call that does not wait; sets *body to the answer's body. */
@@ -274,11 +311,12 @@
 
 		status = run_transaction(s, in, present);
 		*body = json_pack("{s:I,s:o}", "revision",
-				  (json_int_t)s->revision, "items", present);
+				  (json_int_t)s->data.revision, "items",
+				  present);
 	} else if (strcmp(r->path, "/kv-lease") == 0) {
 		status = 200;
 		*body = json_pack("{s:I,s:s}", "lease",
-				  (json_int_t)s->next_lease++, "ttl_time",
+				  (json_int_t)s->data.next_lease++, "ttl_time",
 				  "6000ms");
 	} else if (strncmp(r->path, "/kv-keep/", 9) == 0) {
 		status = lease_is_valid(s, lease) ? 200 : 404;
@@ -307,7 +345,7 @@
 	s->calls++;
 	pthread_mutex_unlock(&s->lock);
 	if (fault == PLATFORM_UNAVAILABLE)
-		return serve_json(r, 503, json_object());
+		return answer(s, r, 503, json_object());
 	if (fault == PLATFORM_NO_ANSWER) {
 		usleep(NO_ANSWER_DELAY_MS * 1000);
 		return MHD_NO;
@@ -323,7 +361,7 @@
 		json_decref(body);
 		return MHD_NO;
 	}
-	return serve_json(r, (unsigned int)status, body);
+	return answer(s, r, status, body);
 }
 
 static enum MHD_Result on_store(struct serve_request *r, void *arg)
@@ -343,8 +381,9 @@
 	struct platform_store *s = calloc(1, sizeof(*s));
 
 	pthread_mutex_init(&s->lock, NULL);
-	s->revision = 1;
-	s->next_lease = 100;
+	s->data.revision = 1;
+	s->data.next_lease = 100;
+	s->era = 1;
 	s->server = serve_init(listen, on_store, s);
 	if (s->server)
 		return s;
@@ -407,11 +446,62 @@
 void platform_store_expire_leases(struct platform_store *s)
 {
 	pthread_mutex_lock(&s->lock);
-	expire_leases(s, 1, s->next_lease);
-	s->expired_below = s->next_lease;
+	expire_leases(s, 1, s->data.next_lease);
+	s->data.expired_below = s->data.next_lease;
 	pthread_mutex_unlock(&s->lock);
 }
 
+/* Copies the data, with values of its own. */
+static void copy_data(struct store_data *to, const struct store_data *from)
+{
+	int i;
+
+	*to = *from;
+	for (i = 0; i < to->n_items; i++)
+		if (to->items[i].value)
+			to->items[i].value = strdup(to->items[i].value);
+}
+
+static void free_data(struct store_data *data)
+{
+	int i;
+
+	for (i = 0; i < data->n_items; i++)
+		free(data->items[i].value);
+}
+
+struct platform_copy *platform_store_copy(struct platform_store *s)
+{
+	struct platform_copy *c = calloc(1, sizeof(*c));
+
+	pthread_mutex_lock(&s->lock);
+	copy_data(&c->data, &s->data);
+	pthread_mutex_unlock(&s->lock);
+	return c;
+}
+
+void platform_store_restore(struct platform_store *s,
+			    const struct platform_copy *c, const char *key,
+			    const char *value)
+{
+	pthread_mutex_lock(&s->lock);
+	free_data(&s->data);
+	copy_data(&s->data, &c->data);
+	s->era++;
+	if (key)
+		set_item(s, key, base64(value), 0);
+	s->fault = PLATFORM_NO_FAULT;
+	pthread_mutex_unlock(&s->lock);
+}
+
+void platform_copy_end(struct platform_copy *c)
+{
+	if (!c)
+		return;
+	free_data(&c->data);
+	free(c);
+}
+
 int platform_store_count(struct platform_store *s, const char *prefix)
 {
 	json_t *list;
@@ -437,13 +527,10 @@
 
 void platform_store_end(struct platform_store *s)
 {
-	int i;
-
 	if (!s)
 		return;
 	serve_end(s->server);
-	for (i = 0; i < s->n_items; i++)
-		free(s->items[i].value);
+	free_data(&s->data);
 	pthread_mutex_destroy(&s->lock);
 	free(s);
 }
--- a/test/standin/lib_platform.h
+++ b/test/standin/lib_platform.h
@@ -51,6 +51,19 @@
 void platform_store_remove(struct platform_store *s, const char *key);
 /** Expires all leases, as an outage does. */
 void platform_store_expire_leases(struct platform_store *s);
+struct platform_copy;
+
+/** Copies what the store holds. */
+struct platform_copy *platform_store_copy(struct platform_store *s);
+/** Ends the store's fault and replaces what it holds by a copy: later writes and
+ *  leases are lost, revisions are given out again, the era rises, and waiting
+ *  watches are cut. With a key that item is written before any call is
+ *  answered, as by an operator whose call waited; NULL: none. */
+void platform_store_restore(struct platform_store *s,
+			    const struct platform_copy *c, const char *key,
+			    const char *value);
+/** Frees a copy; NULL is ignored. */
+void platform_copy_end(struct platform_copy *c);
 /** Number of items under a prefix. */
 int platform_store_count(struct platform_store *s, const char *prefix);
 /** Number of calls since the start through all addresses, including refused
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -48,6 +48,26 @@
 	EXPECT_EQ(9u, fp_directory_revision(d));
 }
 
+/* Guards against a record that is read after the store came back from a copy and
+ * counts as the newest: a later one that was lost may have withdrawn a key. */
+TEST_F(Directory, AnOlderRecordConfirmsNothing)
+{
+	store.write("op/config", config_json(5));
+	start();
+	auto copy = store.copy();
+	store.write("op/config", config_json(9));
+	run_ms(1100);
+	store.restore(copy);
+	run_ms(1100);
+	int64_t last_us = confirmed_us;
+	run_ms(3000);
+	EXPECT_EQ(9u, fp_directory_revision(d));
+	EXPECT_EQ(last_us, confirmed_us);
+	store.write("op/config", config_json(9));
+	run_ms(1100);
+	EXPECT_GT(confirmed_us, last_us);
+}
+
 TEST_F(Directory, AnInvalidRecordIsNotApplied)
 {
 	store.write("op/config", config_json(5));
--- a/test/test_directory_relay.cc
+++ b/test/test_directory_relay.cc
@@ -31,8 +31,9 @@
 			run_ms(1);
 	}
 
+	/* newest: the configuration that the delegate knows; 0: of no report */
 	void answer(enum fp_status st, uint64_t revision, int64_t age_us,
-		    uint64_t id)
+		    uint64_t id, uint64_t newest = 0)
 	{
 		struct fp_msg_shared m = {};
 
@@ -41,6 +42,7 @@
 		m.confirm_response.status = st;
 		m.confirm_response.item_revision = revision;
 		m.confirm_response.age_us = age_us;
+		m.confirm_response.newest_revision = newest;
 		fp_directory_message(d, "10.0.0.2:80", &m);
 	}
 
@@ -279,6 +281,42 @@
 	}
 }
 
+/* Guards against a key that a follower accepts because the record that withdrew
+ * it was lost by the store: its delegate knows a later configuration than the
+ * record that both have read. */
+TEST_F(Follower, ARecordOlderThanItsDelegateKnowsConfirmsNothing)
+{
+	follow_until_request();
+	int64_t before_us = confirmed_us;
+	uint64_t item = store.items["op/config"].revision;
+	answer(FP_OK, item, 0, sent.back().second.id, 6);
+	EXPECT_EQ(before_us, confirmed_us);
+	size_t n_requests = sent.size();
+	while (sent.size() == n_requests)
+		run_ms(1);
+	store.write("op/config", config_json(6));
+	answer(FP_OK, store.items["op/config"].revision, 0,
+	       sent.back().second.id, 6);
+	send_record(store.items["op/config"].value, 20, 0);
+	EXPECT_EQ(6u, revisions.back());
+	EXPECT_GT(confirmed_us, before_us);
+}
+
+/* A record of a later epoch of the store is a newer one, whatever its number. */
+TEST_F(Follower, TakesARecordOfALaterEpoch)
+{
+	follow_until_request();
+	uint64_t counter =
+		fp_revision_counter(store.items["op/config"].revision);
+	store.items["op/config"] = { config_json(6),
+				     fp_revision(1, counter - 3), 0 };
+	answer(FP_OK, store.items["op/config"].revision, 0,
+	       sent.back().second.id, 6);
+	ASSERT_EQ(FP_MSG_CONFIG_REQUEST, sent.back().second.type);
+	send_record(store.items["op/config"].value, 20, 0);
+	EXPECT_EQ(6u, revisions.back());
+}
+
 /* An older record, as after a switch to a delegate that lags behind. */
 TEST_F(Follower, AnOlderRecordIsNotApplied)
 {
--- a/test/test_msg_shared.cc
+++ b/test/test_msg_shared.cc
@@ -72,10 +72,13 @@
 		m.confirm_request.members_revision = BIG;
 		break;
 	case FP_MSG_CONFIRM_RESPONSE:
-		m.confirm_response = {
-			FP_UNAVAILABLE, BIG,	 4999999,
-			true,		BIG - 1, { BIG - 2, 2, { "a", "b" } }
-		};
+		m.confirm_response = { FP_UNAVAILABLE,
+				       BIG,
+				       BIG - 3,
+				       4999999,
+				       true,
+				       BIG - 1,
+				       { BIG - 2, 2, { "a", "b" } } };
 		break;
 	case FP_MSG_MEMBER_CHANGE:
 		m.member_change = { 5, BIG, true, "n1", "{\"id\":1}" };
