A stopping node takes late requests by their deadline, not by an estimate

Cause: drain.c compared half as long again as the longest run of the route lately with the time left. Any request may take longer than those before it.

Change: the decision is in state/drain_limit.c. What arrives later than 2.8 s after the stop began is passed on only if its deadline is before the exit, and is refused as stopping, not run, otherwise. Earlier requests keep the estimate: by their deadlines nearly all of them would be refused, while their callers know no other node yet.

--- a/src/node/drain.c
+++ b/src/node/drain.c
@@ -1,8 +1,8 @@
 /*
  * drain.c - the planned stop as seen by the traffic thread
  *
- * A stopping process passes on only what it can finish before it exits. The
- * time that a request may take is compared with the time left in three places
+ * A stopping process passes on only what it can finish before it exits
+ * (drain_limit.c). That is decided in three places
  * that together see every request: before a call is begun (call_begin), before
  * each attempt of it is sent (call_send), and before the worker of this node
  * gets an execution (execution.c). Calls and executions that wait for a token,
@@ -13,12 +13,11 @@
 
 #include "base/log.h"
 #include "node/call.h"
+#include "state/drain_limit.h"
 
 /* Time reserved at the end of the grace period, before the process is killed,
  * for the process to exit. */
 #define KILL_MARGIN_US (400 * FP_US_PER_MS)
-/* Time to send an answer to its caller. */
-#define ANSWER_US (100 * FP_US_PER_MS)
 
 /* When the process exits although calls are in flight, loop clock. */
 static int64_t exit_us(const struct fp_traffic *t)
@@ -27,30 +26,38 @@
 }
 
 static bool can_finish(const struct fp_traffic *t,
-		       const struct fp_run_times *times, const char *route,
-		       int64_t deadline_us)
+		       const struct fp_run_times *times,
+		       const struct fp_drain_request *r)
 {
-	int64_t now_us = fp_loop_now_us(t->loop);
-	int64_t may_take_us;
+	struct fp_drain_limit limit = { .started_us = t->drain_started_us };
 
 	if (!t->draining)
 		return true;
 	if (t->drained_reported)
 		return false;
-	may_take_us =
-		fp_run_times_expect(times, route, deadline_us - now_us, now_us);
-	return now_us + may_take_us + ANSWER_US <= exit_us(t);
+	limit.exit_us = exit_us(t);
+	return fp_drain_can_finish(&limit, times, r, fp_loop_now_us(t->loop));
 }
 
 bool drain_can_finish_call(const struct call *c)
 {
-	return can_finish(c->t, c->t->call_times, c->msg.route, c->deadline_us);
+	struct fp_drain_request r = { .route = c->msg.route,
+				      .arrived_us = c->started_us,
+				      .deadline_us = c->deadline_us };
+
+	return can_finish(c->t, c->t->call_times, &r);
 }
 
+/* The worker of a stopping process begins nothing after FP_DRAIN_ACCEPT_US, so
+ * its executions are all early ones. */
 bool drain_can_finish_execution(const struct fp_traffic *t, const char *route,
 				int64_t deadline_us)
 {
-	return can_finish(t, t->execution_times, route, deadline_us);
+	struct fp_drain_request r = { .route = route,
+				      .arrived_us = t->drain_started_us,
+				      .deadline_us = deadline_us };
+
+	return can_finish(t, t->execution_times, &r);
 }
 
 void drain_begin(struct fp_traffic *t)
--- a/test/standin/lib_platform.c
+++ b/test/standin/lib_platform.c
@@ -639,6 +639,12 @@
 					       MHD_RESPMEM_MUST_FREE);
 }
 
+static int run_ms(const struct platform_server *s, const char *path)
+{
+	return s->o.slow_path && strstr(path, s->o.slow_path) ? s->o.slow_ms :
+								s->o.run_ms;
+}
+
 static enum MHD_Result on_request(struct serve_request *r, void *arg)
 {
 	struct platform_server *s = arg;
@@ -661,7 +667,7 @@
 	if (s->o.nested_url)
 		send_nested_request(s,
 				    serve_header(r, "Fulmarpass-Request-Id"));
-	usleep((useconds_t)s->o.run_ms * 1000);
+	usleep((useconds_t)run_ms(s, r->path) * 1000);
 	if (s->o.close_without_answer)
 		return MHD_NO;
 	if (s->o.endless_path && strstr(r->path, s->o.endless_path))
--- a/test/standin/lib_platform.h
+++ b/test/standin/lib_platform.h
@@ -90,6 +90,10 @@
 	 *  NULL: none. */
 	const char *large_path;
 	int large_bytes;
+	/** Requests whose path contains this text run for slow_ms; NULL:
+	 *  none. */
+	const char *slow_path;
+	int slow_ms;
 	/** Load that it reports with a refusal of each request; NULL: it
 	 *  refuses none. */
 	const char *refusal_load;
--- a/test/test_e2e_shutdown.cc
+++ b/test/test_e2e_shutdown.cc
@@ -37,18 +37,13 @@
 		close(fd);
 	}
 	/* Returns whether the request was written. */
-	bool send_order(int turn)
+	bool send_order(int turn, const std::string &path = "/order/x")
 	{
-		std::string text =
-			"POST /order/x HTTP/1.1\r\nHost: h.example\r\n"
-			"Fulmarpass-Request-Id: kept" +
-			std::to_string(number) + "-" + std::to_string(turn) +
-			"\r\nFulmarpass-Deadline-Ms: 5000\r\n"
-			"Fulmarpass-Key: k1\r\nContent-Length: 0\r\n\r\n";
-
-		sent_us = now_us();
-		return send(fd, text.data(), text.size(), MSG_NOSIGNAL) ==
-		       (ssize_t)text.size();
+		return send_request("POST " + path, turn);
+	}
+	bool send_lookup(const std::string &path)
+	{
+		return send_request("GET " + path, 0);
 	}
 	/* Reads what arrives within 5 s; returns the status, 0: no answer. */
 	int read_status()
@@ -70,6 +65,21 @@
 	bool timed_out = false; /* it came at the route's timeout, or later */
 
       private:
+	/* line: method and path. Returns whether the request was written. */
+	bool send_request(const std::string &line, int turn)
+	{
+		std::string text =
+			line +
+			" HTTP/1.1\r\nHost: h.example\r\n"
+			"Fulmarpass-Request-Id: kept" +
+			std::to_string(number) + "-" + std::to_string(turn) +
+			"\r\nFulmarpass-Deadline-Ms: 5000\r\n"
+			"Fulmarpass-Key: k1\r\nContent-Length: 0\r\n\r\n";
+
+		sent_us = now_us();
+		return send(fd, text.data(), text.size(), MSG_NOSIGNAL) ==
+		       (ssize_t)text.size();
+	}
 	int fd;
 	int number;
 	int64_t sent_us = 0;
@@ -130,6 +140,49 @@
 	EXPECT_GT(count(*machines[0], "reason=stopping"), 0);
 }
 
+/*
+ * Guards against a request that is cut by the exit because it takes longer than
+ * the others of its route did. Orders take 0.1 s; one that takes 1.4 s is sent
+ * 4.4 s after SIGTERM. The node exits 5.6 s after it; look-ups of 1.4 s keep it
+ * busy until then, the last of which surely ends in time.
+ */
+TEST_F(Hosted, AStoppingNodeTakesNoLateRequestThatMayOutlastIt)
+{
+	const int sent_at_ms[] = { 1900, 2700, 3900, 4400 };
+	const int n = 4;
+	std::vector<std::unique_ptr<KeptConnection>> conns;
+	int status[n] = {};
+
+	slow_ms = 1400;
+	serve(false, 100);
+	for (int i = 0; i < n; i++)
+		conns.push_back(
+			std::make_unique<KeptConnection>(machines[0]->ip, i));
+	for (int turn = 0; turn < 10; turn++) {
+		ASSERT_TRUE(conns[n - 1]->send_order(turn));
+		ASSERT_EQ(200, conns[n - 1]->read_status());
+	}
+	int runs = platform_server_run_count(machines[1]->server);
+	fleet_process_signal(machines[0]->node, SIGTERM);
+	int64_t start_us = now_us();
+	std::vector<std::unique_ptr<std::thread>> readers;
+	for (int i = 0; i < n; i++) {
+		usleep((useconds_t)(start_us + sent_at_ms[i] * 1000 -
+				    now_us()));
+		ASSERT_TRUE(i < n - 1 ?
+				    conns[i]->send_lookup("/deep/slow") :
+				    conns[i]->send_order(99, "/order/slow"));
+		readers.push_back(std::make_unique<std::thread>(
+			[&, i] { status[i] = conns[i]->read_status(); }));
+	}
+	for (auto &r : readers)
+		r->join();
+	for (int i = 0; i < n - 1; i++)
+		EXPECT_EQ(200, status[i]) << i;
+	EXPECT_EQ(503, status[n - 1]);
+	EXPECT_EQ(runs + n - 1, platform_server_run_count(machines[1]->server));
+}
+
 /* A request behind another one on a stopping node's connection is not begun: the
  * answer before it closes the connection. */
 TEST_F(Hosted, AStoppingNodeBeginsNoRequestBehindAnother)
