Records that the store lost are written again

Cause: the nodes of these workers believe that an acknowledged write stays. Their leases are older than the copy, so the renewals succeed, and the old record in the listing is ignored because its revision is low. In the logs of a run the others see slots=0 serving=0 at the return, and the nodes write nothing in the next 10 s (record=2 before and after).

Change: directory_epoch.c learns of a new epoch from any answer. The members are listed again. Records carry a number that rises with the writes of their process: an older or missing own record is written again, of other processes the newest that is known counts. A rate share is not extended until the own record was seen again, and a member that the first listing of an epoch lacks stays for the time of a lease more, since its node may go on so long.

--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -124,6 +124,7 @@
 
 	if (d->closed)
 		return;
+	directory_note_epoch(d, r);
 	/* Read the secret: another node may have written one first. */
 	if (r->status == FP_OK || r->status == FP_CONFLICT)
 		directory_schedule(&d->secret, 0);
@@ -148,6 +149,7 @@
 
 	if (d->closed)
 		return;
+	directory_note_epoch(d, r);
 	if (r->status == FP_NOT_FOUND && !d->secret_awaited) {
 		d->secret_awaited = true;
 		directory_schedule(&d->secret,
@@ -268,6 +270,7 @@
 
 	if (d->closed)
 		return;
+	directory_note_epoch(d, r);
 	it = r->status == FP_OK ? find_config(d, r) : NULL;
 	if (!it && (r->status == FP_NOT_FOUND || r->status == FP_OK) &&
 	    !d->config_item_revision) {
--- a/src/coordination/directory_members.c
+++ b/src/coordination/directory_members.c
@@ -18,12 +18,21 @@
  * of the lease extends the validity of the share only while the record that
  * stands under the node's name is its own.
  *
+ * The store may come back from a copy that is some seconds old
+ * (directory_epoch.c). Each record has a number that rises with the writes of its
+ * process. An older record of a process than the one that is known is ignored if
+ * it is another's, and written again if it is this node's. A record that is missing
+ * may have been under a lease that was lost; its node may spend its share until
+ * that would have ended, so the member stays LEASE_US longer. The node itself does
+ * not extend the validity of its share before it has seen its record again.
+ *
  * While a delegate sends the changes of members (directory_relay.c), the store
  * is not watched. Each node still lists the records itself before it removes a
  * member.
  */
 #include <inttypes.h>
 #include <jansson.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -63,13 +72,14 @@
 
 static char *encode(const struct fp_member *m)
 {
-	json_t *j = json_pack(
-		"{s:I,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:b}", "id",
-		(json_int_t)m->id, "name", m->name, "peer", m->peer_addr,
-		"domain", m->failure_domain, "region", m->region, "service",
-		m->service, "slots", (json_int_t)m->slots, "warm_ms",
-		(json_int_t)m->warm_ms, "known_ms",
-		(json_int_t)m->member_since_ms, "serving", m->serving);
+	json_t *j = json_pack("{s:I,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b}",
+			      "id", (json_int_t)m->id, "name", m->name, "peer",
+			      m->peer_addr, "domain", m->failure_domain,
+			      "region", m->region, "service", m->service,
+			      "slots", (json_int_t)m->slots, "warm_ms",
+			      (json_int_t)m->warm_ms, "known_ms",
+			      (json_int_t)m->member_since_ms, "sequence",
+			      (json_int_t)m->sequence, "serving", m->serving);
 	char *text;
 
 	text = json_dumps(j, JSON_COMPACT);
@@ -151,7 +161,7 @@
  */
 static void extend_validity(struct fp_directory *d)
 {
-	if (!d->counted)
+	if (!d->counted || d->own_record_doubted)
 		return;
 	d->validity.from_us = validity_from_us(d);
 	d->validity.until_us = d->lease_requested_us + LEASE_US +
@@ -189,6 +199,7 @@
 	if (d->closed)
 		return;
 	d->write_pending = false;
+	directory_note_epoch(d, r);
 	if (r->status == FP_CONFLICT) {
 		on_write_conflict(d, r);
 		return;
@@ -197,6 +208,7 @@
 		return;
 	d->own_revision = r->revision;
 	d->counted = true;
+	d->own_record_doubted = false;
 	d->written = !d->dirty;
 	d->since_inherited = false;
 	extend_validity(d);
@@ -216,6 +228,7 @@
 			fp_wall_us(d->cfg.clock) / FP_US_PER_MS;
 		d->was_removed = d->validity.until_us != 0;
 	}
+	d->cfg.self.sequence++;
 	text = encode(&d->cfg.self);
 	snprintf(key, sizeof(key), "%s%s", NODES_PREFIX, d->cfg.self.name);
 	d->write_pending = true;
@@ -232,6 +245,7 @@
 
 	if (d->closed)
 		return;
+	directory_note_epoch(d, r);
 	if (r->status != FP_OK) {
 		directory_task_failed(&d->own_record, r->status);
 		return;
@@ -246,7 +260,10 @@
 {
 	struct fp_directory *d = ctx;
 
-	if (d->closed || !check_lease_call(d, r->status))
+	if (d->closed)
+		return;
+	directory_note_epoch(d, r);
+	if (!check_lease_call(d, r->status))
 		return;
 	d->lease_requested_us = d->keep_requested_us;
 	extend_validity(d);
@@ -335,6 +352,7 @@
 	json_int_t slots = 0;
 	json_int_t warm_ms = 0;
 	json_int_t since_ms = 0;
+	json_int_t sequence = 0;
 	bool ok;
 
 	memset(m, 0, sizeof(*m));
@@ -343,6 +361,7 @@
 	     fp_json_integer(j, "slots", 0, FP_MAX_SLOTS, &slots) &&
 	     fp_json_integer(j, "warm_ms", 0, FP_MAX_WALL_MS, &warm_ms) &&
 	     fp_json_integer(j, "known_ms", 0, FP_MAX_WALL_MS, &since_ms) &&
+	     fp_json_integer(j, "sequence", 0, INT64_MAX, &sequence) &&
 	     json_is_boolean(json_object_get(j, "serving")) &&
 	     fp_json_text(j, "name", m->name, sizeof(m->name)) &&
 	     fp_json_text(j, "peer", m->peer_addr, sizeof(m->peer_addr)) &&
@@ -356,6 +375,7 @@
 		m->slots = (uint32_t)slots;
 		m->warm_ms = warm_ms;
 		m->member_since_ms = since_ms;
+		m->sequence = (uint64_t)sequence;
 		m->serving = json_is_true(json_object_get(j, "serving"));
 	}
 	json_decref(j);
@@ -412,6 +432,10 @@
 	d->own_revision = revision;
 	if (!d->counted || d->leaving)
 		return;
+	/* The lease was lost as well; the store may have given its id to
+	 * another node. */
+	if (d->own_record_doubted)
+		d->lease = 0;
 	fp_log(FP_LOG_WARN, "own_record_lost",
 	       "by=%016" PRIx64 " revision=" FP_REVISION_FORMAT, id,
 	       FP_REVISION_ARGS(changed_revision));
@@ -425,6 +449,24 @@
 	own_record_changed(d);
 }
 
+/* Handles a record of this process that was read; reads may report records that
+ * are older than the last write. */
+static void own_record_read(struct fp_directory *d, const struct fp_member *m,
+			    uint64_t revision)
+{
+	if (revision <= d->own_revision)
+		return;
+	d->own_revision = revision;
+	d->own_record_doubted = false;
+	if (m->sequence >= d->cfg.self.sequence)
+		return;
+	fp_log(FP_LOG_WARN, "own_record_old",
+	       "sequence=%" PRIu64 " written=%" PRIu64
+	       " revision=" FP_REVISION_FORMAT,
+	       m->sequence, d->cfg.self.sequence, FP_REVISION_ARGS(revision));
+	own_record_changed(d);
+}
+
 static bool is_own_name(const struct fp_directory *d, const char *name)
 {
 	return strcmp(name, d->cfg.self.name) == 0;
@@ -481,14 +523,22 @@
 		own_record_lost(d, m.id, it->revision, it->revision);
 		if (!d->validity.until_us)
 			inherit(d, &m);
-	} else if (is_own_name(d, m.name) && it->revision > d->own_revision) {
-		d->own_revision = it->revision;
+	} else if (is_own_name(d, m.name)) {
+		own_record_read(d, &m, it->revision);
 	}
 	rec->listed = true;
 	rec->missing_us = 0;
 	if (rec->revision == it->revision)
 		return false;
 	rec->revision = it->revision;
+	if (rec->member.id == m.id && m.sequence < rec->member.sequence) {
+		fp_log(FP_LOG_INFO, "member_old",
+		       "member=%s sequence=%" PRIu64 " known=%" PRIu64
+		       " revision=" FP_REVISION_FORMAT,
+		       m.name, m.sequence, rec->member.sequence,
+		       FP_REVISION_ARGS(it->revision));
+		return false;
+	}
 	rec->member = m;
 	fp_log(FP_LOG_INFO, "member_seen",
 	       "member=%s id=%016" PRIx64 " service=%s slots=%u serving=%d "
@@ -510,7 +560,8 @@
 	struct directory_record *rec;
 
 	while ((rec = *at)) {
-		if (rec->missing_us && d->failed_since_listing)
+		if (rec->missing_us && d->failed_since_listing &&
+		    rec->missing_us < now_us)
 			rec->missing_us = now_us;
 		if (!rec->missing_us ||
 		    now_us - rec->missing_us < REMOVE_AFTER_US) {
@@ -555,10 +606,24 @@
 	return BATCH_US * (d->n_own_watches ? d->n_own_watches : 1);
 }
 
+/* Handles the first listing of an epoch. Members that it lacks may have had a
+ * lease that was lost. */
+static void keep_missing(struct fp_directory *d)
+{
+	struct directory_record *rec;
+
+	if (d->listing_epoch && d->listing_epoch != d->epoch)
+		for (rec = d->records; rec; rec = rec->next)
+			if (rec->missing_us)
+				rec->missing_us =
+					fp_loop_now_us(d->loop) + LEASE_US;
+	d->listing_epoch = d->epoch;
+}
+
 static void on_members(void *ctx, const struct fp_registry_result *r)
 {
 	struct fp_directory *d = ctx;
-	bool listing = d->members_revision == 0;
+	bool listing = d->members_listing;
 	bool first = listing && !d->has_members;
 	bool changed = first;
 	struct directory_record *rec;
@@ -567,6 +632,7 @@
 	if (d->closed)
 		return;
 	d->members_pending = false;
+	directory_note_epoch(d, r);
 	if (r->status == FP_EXHAUSTED) {
 		d->members_revision = 0;
 		directory_schedule(&d->members, 0);
@@ -586,6 +652,7 @@
 		if (!rec->listed)
 			mark_missing(d, rec, r->revision);
 	if (listing) {
+		keep_missing(d);
 		changed |= remove_missing(d);
 		d->listing_revision = r->revision;
 	}
@@ -613,6 +680,7 @@
 		return;
 	}
 	d->members_pending = true;
+	d->members_listing = !d->members_revision;
 	d->calls[d->members_revision ? FP_DIRECTORY_WATCH :
 				       FP_DIRECTORY_LIST]++;
 	if (d->members_revision)
@@ -622,6 +690,14 @@
 		r->ops->list(r, NODES_PREFIX, on_members, d);
 }
 
+void directory_members_restored(struct fp_directory *d)
+{
+	d->own_record_doubted = true;
+	d->members_revision = 0;
+	if (d->has_members && !d->members_pending)
+		directory_schedule(&d->members, randombytes_uniform(BATCH_US));
+}
+
 /* --- changes from the delegate --- */
 
 void directory_apply_update(struct fp_directory *d,
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -100,6 +100,7 @@
 	int64_t config_requested_us; /* last request to store or delegate */
 	int64_t config_read_us; /* request of the last read that the store
 				 * answered; 0: none */
+	uint64_t epoch; /* of the store; 0: it has named none */
 	uint64_t request_id; /* of the last request to a delegate */
 	int64_t own_suspended_until_us; /* the store refuses this node */
 	int64_t serves_until_us; /* reads the store for those that asked */
@@ -118,6 +119,8 @@
 				* node's name, as last known; 0: none */
 	bool counted; /* that record is of this process, so that the others
 		       * count this node as a member */
+	bool own_record_doubted; /* it may be lost: the store came back from a
+				  * copy, and was not listed since */
 	bool written; /* and it is the newest one */
 	bool write_pending; /* a write of it is in flight */
 	bool dirty; /* it changed during the write */
@@ -126,10 +129,12 @@
 	bool failed_since_listing; /* a members call failed since it */
 	uint32_t n_own_watches; /* of a follower without updates, in a row */
 	bool members_pending; /* a members call to the store is in flight */
+	bool members_listing; /* the last one is a listing, not a watch */
 	uint64_t members_revision; /* store revision up to which changes are
 				    * known; 0: list all records */
 	uint64_t listing_revision; /* of the last listing; removals before it
 				    * are not known */
+	uint64_t listing_epoch; /* of the store at that listing */
 	struct directory_feed feed;
 	struct directory_record *records;
 };
@@ -167,6 +172,13 @@
 /** Schedules a retry after a failed or refused call, with backoff. */
 void directory_task_failed(struct directory_task *t, enum fp_status st);
 
+/* --- directory_epoch.c --- */
+
+/** Takes note of the store's epoch in an answer; every answer is passed to it
+ *  first. */
+void directory_note_epoch(struct fp_directory *d,
+			  const struct fp_registry_result *r);
+
 /* --- directory_relay.c --- */
 
 /** Requests the configuration's revision from the delegate; false: there is no
@@ -193,6 +205,9 @@
 
 void directory_step_own_record(struct fp_directory *d);
 void directory_step_members(struct fp_directory *d);
+/** Handles a store that came back from a copy: lists the members again, and
+ *  writes this node's record again if it was lost. */
+void directory_members_restored(struct fp_directory *d);
 /** Store revision of the last known write or removal of a record. */
 uint64_t directory_change_revision(const struct directory_record *rec);
 /** Writes a member's record as text, in the format of the store. */
--- a/src/coordination/directory_worker_end.c
+++ b/src/coordination/directory_worker_end.c
@@ -106,6 +106,7 @@
 
 	if (d->closed)
 		return;
+	directory_note_epoch(d, r);
 	if (r->status != FP_OK && r->status != FP_NOT_FOUND) {
 		directory_task_failed(&d->end.task, r->status);
 		return;
@@ -137,6 +138,7 @@
 	if (d->closed)
 		return;
 	end->pending = false;
+	directory_note_epoch(d, r);
 	if (r->status == FP_OK) {
 		directory_task_succeeded(&end->task);
 		end->revision = r->revision;
@@ -179,6 +181,7 @@
 	if (d->closed)
 		return;
 	d->end.pending = false;
+	directory_note_epoch(d, r);
 	if (r->status != FP_OK) {
 		directory_task_failed(&d->end.task, r->status);
 		return;
--- a/src/coordination/member.h
+++ b/src/coordination/member.h
@@ -39,6 +39,10 @@
 	/** Its name has been a member since then, without a gap that other
 	 *  members noticed, Unix ms. */
 	int64_t member_since_ms;
+	/** Number of this record among those that its process has written, from
+	 *  1; 0: not told. Shows which of two is older, whatever their
+	 *  revisions. */
+	uint64_t sequence;
 	bool serving; /**< its worker accepts new calls */
 	bool suspected; /**< did not answer probes; may be dead */
 };
--- a/test/directory_fleet.h
+++ b/test/directory_fleet.h
@@ -108,6 +108,7 @@
 	std::map<std::string, struct fp_member> members;
 	struct fp_share_validity validity = {};
 	struct fp_evacuation evacuation = {};
+	uint32_t slots = 0; /* set last */
 	int64_t calm_us = 0; /* runs, and the store serves it, since then */
 	class DirectoryFleet *fleet = nullptr;
 };
@@ -329,6 +330,23 @@
 		}
 	}
 
+	/* Expects that each node whose rate share is valid is a member at all
+	 * others whose share is. */
+	void expect_shares_are_kept(const std::string &when)
+	{
+		auto valid = [&](const Node &n) {
+			return n.validity.from_us <= clock.now_us &&
+			       n.validity.until_us > clock.now_us;
+		};
+
+		for (auto &a : nodes)
+			for (auto &b : nodes)
+				EXPECT_TRUE(!valid(*a) || !valid(*b) ||
+					    b->members.count(a->name))
+					<< a->name << " at " << b->name << " "
+					<< when;
+	}
+
 	std::map<std::string, int64_t> recorded_us; /* last seen in the store */
 	std::vector<struct fp_directory *> ended;
 };
--- a/test/directory_sim.h
+++ b/test/directory_sim.h
@@ -28,6 +28,7 @@
 	bool has_old = false; /* reads that may be old see old_items */
 	std::map<std::string, item> old_items;
 	std::map<uint64_t, bool> leases;
+	uint64_t epoch = 0; /* 0: it names none */
 	uint64_t revision = 10;
 	uint64_t next_lease = 100;
 	enum fp_status fail_status =
@@ -169,17 +170,23 @@
 		std::map<std::string, item> items;
 		std::map<uint64_t, bool> leases;
 		std::vector<std::pair<uint64_t, std::string>> removals;
-		uint64_t revision;
+		uint64_t revision, next_lease;
 	};
-	uint64_t epoch = 0;
+
+	/* Names its epoch from now on. */
+	void name_epoch()
+	{
+		epoch = 1;
+		revision = fp_revision(epoch, revision);
+	}
 
 	contents copy() const
 	{
-		return { items, leases, removals, revision };
+		return { items, leases, removals, revision, next_lease };
 	}
 
 	/* Comes back from a copy: writes and leases of after it are lost, and
-	 * their revisions are given out again, in a new epoch. */
+	 * their revisions and ids are given out again, in a new epoch. */
 	void restore(const contents &c)
 	{
 		auto requalify = [this](uint64_t r) {
@@ -191,6 +198,7 @@
 		items = c.items;
 		leases = c.leases;
 		removals = c.removals;
+		next_lease = c.next_lease;
 		revision = requalify(c.revision);
 		for (auto &i : items)
 			i.second.revision = requalify(i.second.revision);
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -52,6 +52,7 @@
  * counts as the newest: a later one that was lost may have withdrawn a key. */
 TEST_F(Directory, AnOlderRecordConfirmsNothing)
 {
+	store.name_epoch();
 	store.write("op/config", config_json(5));
 	start();
 	auto copy = store.copy();
@@ -126,6 +127,114 @@
 	EXPECT_EQ(last_us, confirmed_us);
 }
 
+/* Guards against a worker that gets no requests because the store lost what its
+ * node has written of it. */
+TEST_F(Directory, AnOwnRecordOfBeforeIsWrittenAgain)
+{
+	store.name_epoch();
+	start();
+	run_ms(3000);
+	auto copy = store.copy();
+	fp_directory_set_worker(d, 8, 0, true);
+	run_ms(1000);
+	int leases = store.calls["open"];
+	store.restore(copy);
+	EXPECT_EQ(std::string::npos,
+		  store.items["fulmar/nodes/n1"].value.find("\"slots\":8"));
+	run_ms(2000);
+	EXPECT_NE(std::string::npos,
+		  store.items["fulmar/nodes/n1"].value.find("\"slots\":8"));
+	EXPECT_EQ(leases, store.calls["open"]);
+	EXPECT_GT(validity.until_us, fp_mono_us(&clock.clock));
+}
+
+/* The same where it had not written any record before the copy: its lease is
+ * lost, too, and another node may have got its id. */
+TEST_F(Directory, ALostOwnRecordIsWrittenAgainUnderANewLease)
+{
+	store.name_epoch();
+
+	auto copy = store.copy();
+
+	start();
+	fp_directory_set_worker(d, 8, 0, true);
+	run_ms(3000);
+	uint64_t lost = store.items["fulmar/nodes/n1"].lease;
+	store.restore(copy);
+	store.leases[lost] = true; /* of another node */
+	store.next_lease = lost + 1;
+	run_ms(2500);
+	ASSERT_EQ(1u, store.items.count("fulmar/nodes/n1"));
+	EXPECT_GT(store.items["fulmar/nodes/n1"].lease, lost);
+	EXPECT_NE(std::string::npos,
+		  store.items["fulmar/nodes/n1"].value.find("\"slots\":8"));
+}
+
+/* An intact record is not written again: 740 nodes would do so at once. */
+TEST_F(Directory, AnOwnRecordThatIsInTheCopyIsNotWrittenAgain)
+{
+	store.name_epoch();
+	store.write("op/config", config_json(5));
+	start();
+	fp_directory_set_worker(d, 8, 0, true);
+	run_ms(3000);
+	auto copy = store.copy();
+	run_ms(3000);
+	int puts = store.calls["put"];
+	int lists = store.calls["list"];
+	store.restore(copy);
+	run_ms(5000);
+	EXPECT_EQ(puts, store.calls["put"]);
+	EXPECT_EQ(lists + 1, store.calls["list"]);
+}
+
+/* What is known of another process counts until that has written again. */
+TEST_F(Directory, AnOlderRecordOfAnotherNodeIsIgnored)
+{
+	auto json = [](int slots, int sequence) {
+		std::string text = member_json("n2", 2, true);
+
+		text.replace(
+			text.find("\"slots\":4"), 9,
+			"\"slots\":" + std::to_string(slots) +
+				",\"sequence\":" + std::to_string(sequence));
+		return text;
+	};
+
+	store.name_epoch();
+	store.write("fulmar/nodes/n2", json(4, 3));
+	start();
+	auto copy = store.copy();
+	store.write("fulmar/nodes/n2", json(9, 4));
+	run_ms(1000);
+	EXPECT_EQ(9u, members["n2"].slots);
+	store.restore(copy);
+	run_ms(3000);
+	EXPECT_EQ(9u, members["n2"].slots);
+	store.write("fulmar/nodes/n2", json(7, 5));
+	run_ms(1000);
+	EXPECT_EQ(7u, members["n2"].slots);
+}
+
+/* Guards against a rate that is spent twice: a member whose record was lost, with
+ * its lease, may go on with its share for as long as the lease would have
+ * lasted. */
+TEST_F(Directory, AMemberWhoseRecordWasLostStaysForTheTimeOfItsLease)
+{
+	store.name_epoch();
+	start();
+	run_ms(1000);
+	auto copy = store.copy();
+	store.write("fulmar/nodes/n2", member_json("n2", 2, true));
+	run_ms(1000);
+	ASSERT_EQ(1u, members.count("n2"));
+	store.restore(copy);
+	run_ms(8000); /* LEASE_US and most of REMOVE_AFTER_US */
+	EXPECT_EQ(1u, members.count("n2"));
+	run_ms(3000);
+	EXPECT_EQ(0u, members.count("n2"));
+}
+
 TEST_F(Directory, TheOwnRecordIsWrittenUnderALease)
 {
 	start();
--- a/test/test_directory_fleet.cc
+++ b/test/test_directory_fleet.cc
@@ -229,6 +229,102 @@
 	}
 }
 
+/*
+ * The store comes back from copies up to 6 s old, also twice in a row, while
+ * nodes change their records, are refused by the store, and lose messages. No
+ * node spends a share while another has removed it, and in the end all know what
+ * each has written last.
+ */
+TEST_F(DirectoryFleet, NothingStaysLostAfterTheStoreCameBack)
+{
+	const char *seed_env = getenv("FP_SEED");
+	const char *n_seeds = getenv("FP_SEEDS");
+	std::vector<uint64_t> seeds;
+
+	for (uint64_t seed = 1;
+	     !seed_env &&
+	     seed <= (n_seeds ? strtoull(n_seeds, nullptr, 10) : 20);
+	     seed++)
+		seeds.push_back(seed);
+	if (seed_env)
+		seeds = { strtoull(seed_env, nullptr, 10) };
+	store.leases_expire = true;
+	store.name_epoch();
+	for (uint64_t seed : seeds) {
+		std::string when = "seed " + std::to_string(seed);
+		int version = 5;
+
+		random.seed(seed);
+		seed_jitter(seed);
+		store.write("op/config", config_json(version));
+		for (int i = 0; i < 12; i++)
+			add(i, 3);
+		run_fleet_ms(12000);
+		auto run_checked = [&](int ms) {
+			for (; ms > 0; ms -= 20) {
+				run_fleet_ms(20);
+				expect_shares_are_kept(when);
+			}
+		};
+		auto change = [&](int step) {
+			Node &n = *nodes[(size_t)pick(12)];
+
+			n.slots = (uint32_t)step + 1;
+			fp_directory_set_worker(n.d, n.slots, 0, true);
+		};
+		for (int round = 0; round < 6; round++) {
+			auto copy = store.copy();
+			for (int step = pick(8); step >= 0; step--) {
+				change(round * 10 + step);
+				if (pick(3) == 0)
+					store.write("op/config",
+						    config_json(++version));
+				run_checked(pick(800));
+			}
+			for (auto &n : nodes)
+				n->access.refused = chance() < 0.15;
+			loss_rate = pick(2) ? chance() / 3 : 0;
+			store.fail_status = FP_UNAVAILABLE;
+			run_checked(pick(2000));
+			store.fail_status = FP_OK;
+			store.restore(copy);
+			if (pick(2))
+				run_checked(pick(3000));
+			store.write("op/config", config_json(++version));
+			run_checked(pick(1500));
+			if (pick(3) == 0)
+				store.restore(copy);
+			run_checked(pick(6000));
+			store.write("op/config", config_json(++version));
+			for (auto &n : nodes)
+				n->access.refused = false;
+			loss_rate = 0;
+			run_checked(pick(6000));
+		}
+		run_checked(14000);
+		expect_members_match_store(when.c_str());
+		for (auto &n : nodes) {
+			EXPECT_EQ((uint64_t)version,
+				  fp_directory_revision(n->d))
+				<< n->name << " " << when;
+			EXPECT_LT(fp_mono_us(&clock.clock) - n->confirmed_us,
+				  3500000)
+				<< n->name << " " << when;
+			for (auto &[name, m] : n->members)
+				EXPECT_EQ(find_node(name).slots, m.slots)
+					<< n->name << " of " << name << " "
+					<< when;
+		}
+		for (auto &n : nodes)
+			stop_node(*n);
+		nodes.clear();
+		store.items.clear();
+		run_fleet_ms(10);
+		if (HasFailure())
+			break;
+	}
+}
+
 /*
  * Nodes are killed and start again while the store does writes 1 to 6 s late.
  * No node spends a share that the others do not count, and in the end each
--- a/test/test_e2e_restore.cc
+++ b/test/test_e2e_restore.cc
@@ -75,6 +75,37 @@
 	EXPECT_TRUE(all_answer(401, "k2"));
 }
 
+/* Guards against workers that get no requests because the store lost what their
+ * nodes have written of them. They joined after the copy, at nodes that ran
+ * before. */
+TEST_F(Restore, AWorkerThatJoinedBeforeTheDrillIsServed)
+{
+	Machine &front = add("front");
+	Machine &deep = add("deep");
+
+	write_config(1);
+	announce_stopped[deep.id] = true;
+	start_announcing();
+	ASSERT_TRUE(wait([&] {
+		return ready(front) == 200 && ready(deep) == 200 &&
+		       call(front, "/front/x").status == 200;
+	}));
+	sleep(2);
+	copy = platform_store_copy(store);
+	announce_stopped[deep.id] = false;
+	ASSERT_TRUE(wait([&] { return call(front, "/deep/x").status == 200; }));
+	sleep(1);
+	drill(1, "\"k1\"");
+	sleep(3);
+	int served = 0;
+	for (int i = 0; i < 20; i++) {
+		served += call(front, "/deep/x").status == 200;
+		usleep(100000);
+	}
+	EXPECT_EQ(20, served);
+	EXPECT_GT(count(deep, "event=store_restored"), 0);
+}
+
 /* Guards against a record of before that counts as the newest: it may hold a key
  * that was taken away since. Until the operator has written again, the version
  * in force stays, and from the bound on no key is accepted. */
