The end of a worker is written again after the store lost it

What callers could see: a worker leaves, the store comes back from a copy of before, and the worker's node is restarted. A late announcement then makes the worker a member again, and it gets requests after its leaving was acknowledged.

Cause: as for the records of nodes, the acknowledged write was believed to stay. The next process reads an older end or none.

Change: when the epoch changes, what is known of the record and its lease is forgotten, and the end is written again. If the store has one, the conflict shows it, and the known end is written over it.

--- a/src/coordination/directory_epoch.c
+++ b/src/coordination/directory_epoch.c
@@ -8,6 +8,7 @@
  *
  *	own record	by its process, under the lease that it has, or a new
  *			one if that may be lost, too (directory_members.c)
+ *	worker's end	by its node, over what the store has (directory_worker_end.c)
  *	configuration	by the operators; until then an older record confirms
  *			nothing (directory.c)
  *
@@ -33,4 +34,5 @@
 	fp_log(FP_LOG_WARN, "store_restored",
 	       "epoch=%" PRIu64 " before=%" PRIu64, d->epoch, before);
 	directory_members_restored(d);
+	directory_worker_end_restored(d);
 }
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -223,5 +223,7 @@
 
 /** Reads the end of this node's worker at the start; later writes a new one. */
 void directory_step_worker_end(struct fp_directory *d);
+/** Handles a store that came back from a copy: writes the end again. */
+void directory_worker_end_restored(struct fp_directory *d);
 
 #endif
--- a/src/coordination/directory_worker_end.c
+++ b/src/coordination/directory_worker_end.c
@@ -11,11 +11,16 @@
  * never renewed: END_LEASE_US is far longer than an announcement may be under
  * way, and the records of nodes that are gone for good are removed in the end.
  *
+ * A store that came back from a copy may have lost the end and its lease, or have
+ * an older one. The end is written again in any case; if it is there, the conflict
+ * shows what is there.
+ *
  * As the record of the node, it is written only over the revision that this
  * process knows, so that a late write of an earlier process replaces nothing.
  */
 #include <inttypes.h>
 #include <jansson.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -28,6 +33,8 @@
 /* The longest lease of the store. */
 #define END_LEASE_US	 (600 * FP_US_PER_S)
 #define MAX_RECORD_BYTES 512
+/* The nodes of a fleet write again within this time after a return. */
+#define RESTORE_SPREAD_US (500 * FP_US_PER_MS)
 
 static bool same_end(const struct fp_worker_end *a,
 		     const struct fp_worker_end *b)
@@ -218,6 +225,18 @@
 	r->ops->open_lease(r, END_LEASE_US, on_lease, d);
 }
 
+void directory_worker_end_restored(struct fp_directory *d)
+{
+	struct directory_end *end = &d->end;
+
+	end->lease = 0;
+	end->revision = 0;
+	memset(&end->stored, 0, sizeof(end->stored));
+	if (end->was_read && !end->pending && end->wanted.instance[0])
+		directory_schedule(&end->task,
+				   randombytes_uniform(RESTORE_SPREAD_US));
+}
+
 void fp_directory_set_worker_end(struct fp_directory *d,
 				 const struct fp_worker_end *e)
 {
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -470,6 +470,32 @@
 	}
 }
 
+/* Guards against a worker that is used again because the store came back from a
+ * copy of before its end, or from one with an older end. */
+TEST_F(WorkerEnd, OutlivesAReturnOfTheStoreFromACopy)
+{
+	struct fp_worker_end leaving = left;
+
+	store.name_epoch();
+	start_with_n2(1500);
+	auto before = store.copy();
+	leaving.deregistered = !left.deregistered;
+	fp_directory_set_worker_end(d, &leaving);
+	run_ms(100);
+	auto older = store.copy();
+	fp_directory_set_worker_end(d, &left);
+	run_ms(100);
+	for (auto &copy : { before, older, before }) {
+		store.restore(copy);
+		run_ms(3500);
+		EXPECT_EQ(left.sequence, stored_ends.back().sequence);
+		EXPECT_EQ(left.deregistered, stored_ends.back().deregistered);
+	}
+	worker_ends.clear();
+	end_process(100);
+	expect_next_process_learns();
+}
+
 /* Guards against an acknowledgement that only this process knows of: the end is
  * reported as stored when a later process would read it, not before. */
 TEST_F(WorkerEnd, IsReportedOnlyWhenItIsStored)
