The fleet's secret is written again after the store lost it

What callers could see: the store comes back from a copy of before the fleet's first seconds. Nodes that start later make another secret and cannot link to the others, so their callers get 503 for all services that run elsewhere.

Cause: the secret was read once and believed to stay in the store.

Change: when the epoch changes, the nodes that read the store for their failure domain read the secret, and write theirs if it is missing; the first writer wins, as at a start. A node that meets another secret reports it.

Measured: Directory.ALostSecretIsWrittenAgain fails before and passes with the change, as do the other cases of test_directory (46) and test_directory_fleet (10); an intact secret costs one read.

--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -5,7 +5,7 @@
  * for its next step:
  *
  *	secret		reads the fleet's secret, or creates it; the first
- *			writer wins
+ *			writer wins. Writes it again when the store has lost it
  *	config		polls the configuration record, in each failure domain
  *			by one node for the others (directory_relay.c). Each
  *			answer confirms that the record was the newest when the
@@ -132,17 +132,39 @@
 		directory_task_failed(&d->secret, r->status);
 }
 
+/* Writes a secret unless there is one. */
+static void write_secret(struct fp_directory *d, const uint8_t *secret)
+{
+	d->calls[FP_DIRECTORY_SECRET]++;
+	d->cfg.registry->ops->put(d->cfg.registry, SECRET_KEY, secret,
+				  FP_DIRECTORY_SECRET_BYTES, 0, 0,
+				  on_secret_written, d);
+}
+
 static void create_secret(struct fp_directory *d)
 {
 	uint8_t secret[FP_DIRECTORY_SECRET_BYTES];
 
 	randombytes_buf(secret, sizeof(secret));
-	d->calls[FP_DIRECTORY_SECRET]++;
-	d->cfg.registry->ops->put(d->cfg.registry, SECRET_KEY, secret,
-				  sizeof(secret), 0, 0, on_secret_written, d);
+	write_secret(d, secret);
 	sodium_memzero(secret, sizeof(secret));
 }
 
+/* Takes the secret that the store holds. Links use the first one, so another one
+ * cuts this node off from nodes that start. */
+static void take_secret(struct fp_directory *d, const uint8_t *secret)
+{
+	if (!d->has_secret) {
+		d->has_secret = true;
+		memcpy(d->secret_value, secret, sizeof(d->secret_value));
+		d->ops.secret(d->ops.ctx, secret);
+	} else if (sodium_memcmp(d->secret_value, secret,
+				 sizeof(d->secret_value)) != 0) {
+		fp_log(FP_LOG_ERROR, "secret_differs", "epoch=%" PRIu64,
+		       d->epoch);
+	}
+}
+
 static void on_secret(void *ctx, const struct fp_registry_result *r)
 {
 	struct fp_directory *d = ctx;
@@ -156,6 +178,10 @@
 				   randombytes_uniform(SECRET_WAIT_US));
 		return;
 	}
+	if (r->status == FP_NOT_FOUND && d->has_secret) {
+		write_secret(d, d->secret_value);
+		return;
+	}
 	if (r->status == FP_NOT_FOUND) {
 		create_secret(d);
 		return;
@@ -166,8 +192,7 @@
 		return;
 	}
 	directory_task_succeeded(&d->secret);
-	d->has_secret = true;
-	d->ops.secret(d->ops.ctx, r->items[0].value);
+	take_secret(d, r->items[0].value);
 }
 
 /* The secret never changes, so an old read of it is as good as a new one. If it
@@ -180,6 +205,14 @@
 				  !d->secret_awaited, on_secret, d);
 }
 
+void directory_secret_restored(struct fp_directory *d)
+{
+	if (!d->has_secret || !directory_reads_store(d))
+		return;
+	d->secret_awaited = true; /* no read that may be old */
+	directory_schedule(&d->secret, randombytes_uniform(SECRET_WAIT_US));
+}
+
 /* --- config --- */
 
 void directory_text_clear(struct directory_text *t)
@@ -397,6 +430,7 @@
 
 	if (!d)
 		return;
+	sodium_memzero(d->secret_value, sizeof(d->secret_value));
 	directory_text_clear(&d->read_text);
 	directory_text_clear(&d->received);
 	while ((k = d->followers)) {
--- a/src/coordination/directory_epoch.c
+++ b/src/coordination/directory_epoch.c
@@ -9,6 +9,8 @@
  *	own record	by its process, under the lease that it has, or a new
  *			one if that may be lost, too (directory_members.c)
  *	worker's end	by its node, over what the store has (directory_worker_end.c)
+ *	secret		by the nodes that read the store for others, if it is
+ *			missing (directory.c)
  *	configuration	by the operators; until then an older record confirms
  *			nothing (directory.c)
  *
@@ -33,6 +35,7 @@
 		return;
 	fp_log(FP_LOG_WARN, "store_restored",
 	       "epoch=%" PRIu64 " before=%" PRIu64, d->epoch, before);
+	directory_secret_restored(d);
 	directory_members_restored(d);
 	directory_worker_end_restored(d);
 }
--- a/src/coordination/directory_private.h
+++ b/src/coordination/directory_private.h
@@ -81,6 +81,7 @@
 	struct directory_end end;
 	bool closed;
 	bool has_secret;
+	uint8_t secret_value[FP_DIRECTORY_SECRET_BYTES];
 	bool secret_awaited; /* missing; another node may be creating it */
 	bool config_valid; /* the last configuration record was decoded */
 	bool delegate_pending; /* a request to the delegate is open */
@@ -163,6 +164,12 @@
 				const struct fp_evacuation *e,
 				const char *source, int64_t age_us);
 
+/* --- directory.c: secret --- */
+
+/** Handles a store that came back from a copy: writes the secret again if it was
+ *  lost. */
+void directory_secret_restored(struct fp_directory *d);
+
 /* --- directory.c: tasks --- */
 
 /** Schedules a task's next step. */
--- a/test/test_directory.cc
+++ b/test/test_directory.cc
@@ -25,6 +25,27 @@
 	EXPECT_EQ(std::string(32, 's'), secrets[0]);
 }
 
+/* Guards against a fleet that falls in two because nodes that start after the
+ * store has lost the secret make another one. */
+TEST_F(Directory, ALostSecretIsWrittenAgain)
+{
+	store.name_epoch();
+	auto copy = store.copy();
+	start();
+	run_ms(1000);
+	ASSERT_EQ(1u, secrets.size());
+	for (int round = 0; round < 2; round++) {
+		store.restore(copy);
+		run_ms(2500);
+		EXPECT_EQ(secrets[0], store.items["fulmar/secret"].value);
+	}
+	EXPECT_EQ(1u, secrets.size());
+	int calls = (int)fp_directory_calls(d, FP_DIRECTORY_SECRET);
+	store.restore(store.copy());
+	run_ms(2500);
+	EXPECT_EQ(calls + 1, (int)fp_directory_calls(d, FP_DIRECTORY_SECRET));
+}
+
 TEST_F(Directory, ASecretWhoseWriteAnswerWasLostIsReadBack)
 {
 	store.lose_put_answers = true;
