A leaving that names no start ends the starts of before it

Cause: the server's node had just started and learned of the leaving by a deregistration, which names no start. A late announcement of the same server names one; compared with the unknown start it was taken for a later one, and the server was used again.

Change: a leaving of an unknown start takes the time of its arrival as the start, so that earlier starts are the one that left and later ones are not.

Measured: the new case of test_e2e_hosted fails before and passes with the change, with the four others of its suite.

--- a/src/node/worker.c
+++ b/src/node/worker.c
@@ -158,6 +158,10 @@
 		w.serving = false;
 		memcpy(w.instance, a->instance, sizeof(w.instance));
 		w.started_ms = a->started_ms ? a->started_ms : w.started_ms;
+		/* A process that has just started may learn of the leaving
+		 * first. What started before is the start that left. */
+		if (!w.started_ms)
+			w.started_ms = fp_wall_us(t->clock) / FP_US_PER_MS;
 	} else if (crashed(t, a)) {
 		report_crash(t, t->worker.instance);
 	}
--- a/test/e2e_hosted.h
+++ b/test/e2e_hosted.h
@@ -153,6 +153,8 @@
 		o.close_without_answer = close_without_answer;
 		o.refusal_load = refusal_load;
 		o.endless_path = "/endless";
+		o.on_run = on_run;
+		o.on_run_arg = this;
 		o.slow_path = "/slow";
 		o.slow_ms = slow_ms;
 		o.large_path = "/large";
@@ -381,6 +383,9 @@
 	int n_domains = 2; /* failure domains */
 	/* settings [limits] of later nodes */
 	std::string limits = "max_body_bytes = 67108864\n";
+	/* called by later servers as they begin to run a request, with the
+	 * fixture; may be null */
+	void (*on_run)(void *fixture, const char *request_id) = nullptr;
 	int slow_ms = 0; /* runs of a path with /slow at later servers */
 	int answer_bytes = 0; /* of a path with /large at later servers */
 	std::string grace = "6s"; /* setting bounds.grace of later nodes */
--- a/test/standin/lib_platform.c
+++ b/test/standin/lib_platform.c
@@ -664,6 +664,9 @@
 		snprintf(s->last_headers[i], sizeof(s->last_headers[i]), "%s",
 			 serve_header(r, recorded_headers[i]));
 	pthread_mutex_unlock(&s->lock);
+	if (s->o.on_run)
+		s->o.on_run(s->o.on_run_arg,
+			    serve_header(r, "Fulmarpass-Request-Id"));
 	if (s->o.nested_url)
 		send_nested_request(s,
 				    serve_header(r, "Fulmarpass-Request-Id"));
@@ -717,6 +720,14 @@
 	return send_to_control(s, "PUT", body);
 }
 
+void platform_server_set_born(struct platform_server *s, int64_t born_ms)
+{
+	pthread_mutex_lock(&s->lock);
+	s->o.born_ms = born_ms;
+	s->sequence = 0;
+	pthread_mutex_unlock(&s->lock);
+}
+
 void platform_server_set_cold(struct platform_server *s, int ms)
 {
 	pthread_mutex_lock(&s->lock);
--- a/test/standin/lib_platform.h
+++ b/test/standin/lib_platform.h
@@ -97,6 +97,10 @@
 	/** Load that it reports with a refusal of each request; NULL: it
 	 *  refuses none. */
 	const char *refusal_load;
+	/** Called as it begins to run a request, on any thread; may be
+	 *  NULL. */
+	void (*on_run)(void *arg, const char *request_id);
+	void *on_run_arg;
 	/** Nested request that it sends to its node while running one. */
 	const char *nested_url; /**< NULL: none */
 	const char *nested_host; /**< its Host header */
@@ -109,6 +113,8 @@
 /** Announces the server once, with a state such as "ready" or "draining";
  *  false if not acknowledged. */
 bool platform_server_announce(struct platform_server *s, const char *state);
+/** Lets the server announce itself as started again under its id. */
+void platform_server_set_born(struct platform_server *s, int64_t born_ms);
 /** Sets how much longer the server is cold, as its announcements from now on
  *  say; at first it is warm. */
 void platform_server_set_cold(struct platform_server *s, int ms);
--- a/test/test_e2e_hosted.cc
+++ b/test/test_e2e_hosted.cc
@@ -436,6 +436,39 @@
 	expect_not_used_after_start();
 }
 
+/* Guards against a server that is used again after it left because its node has
+ * learned of the leaving, which does not name the start, before a late
+ * announcement, which does. */
+TEST_F(HostedLeft, AServerIsNotUsedWhenItsLeavingIsTheFirstThatItsNodeLearns)
+{
+	Machine &front = add("front");
+	Machine &deep = add("deep");
+
+	announce_stopped[deep.id] = true;
+	write_config(1);
+	start_announcing();
+	ASSERT_TRUE(wait([&] {
+		return ready(front) == 200 && ready(deep) == 200 &&
+		       call(front, "/front/x").status == 200;
+	}));
+	ASSERT_TRUE(platform_server_deregister(deep.server));
+	for (int i = 0; i < 10; i++) {
+		ASSERT_TRUE(platform_server_announce(deep.server, "ready"));
+		EXPECT_EQ(503, call(front, "/deep/x").status);
+		EXPECT_EQ(503, call(deep, "/deep/x").status);
+		usleep(100000);
+	}
+	EXPECT_EQ(0, platform_server_run_count(deep.server));
+	/* A later start under the same id is used. */
+	platform_server_set_born(
+		deep.server,
+		std::chrono::duration_cast<std::chrono::milliseconds>(
+			std::chrono::system_clock::now().time_since_epoch())
+			.count());
+	ASSERT_TRUE(platform_server_announce(deep.server, "ready"));
+	EXPECT_TRUE(wait([&] { return call(front, "/deep/x").status == 200; }));
+}
+
 /* Guards against an acknowledgement that a later process would not know of: a
  * leaving is acknowledged only when it is in the store. */
 TEST_F(HostedLeft, ALeavingIsAcknowledgedWhenItIsStored)
