--- a/test/test_e2e_restore.cc
+++ b/test/test_e2e_restore.cc
@@ -18,7 +18,7 @@
 
 	/* The store goes away for a moment and comes back from the copy, with
 	 * this version of the configuration written again; 0: none yet. */
-	void drill(int version, const std::string &keys)
+	void restore(int version, const std::string &keys)
 	{
 		std::string text = config(version, keys);
 
@@ -56,7 +56,7 @@
 	copy = platform_store_copy(store);
 	write_config(2, "\"k1\",\"k2\"");
 	ASSERT_TRUE(all_answer(200, "k2"));
-	drill(3, "\"k2\"");
+	restore(3, "\"k2\"");
 	EXPECT_TRUE(all_answer(401, "k1"));
 	EXPECT_TRUE(all_answer(200, "k2"));
 }
@@ -70,7 +70,7 @@
 	copy = platform_store_copy(store);
 	write_config(2, "\"k2\"");
 	ASSERT_TRUE(all_answer(401, "k1"));
-	drill(3, "\"k3\"");
+	restore(3, "\"k3\"");
 	EXPECT_TRUE(all_answer(200, "k3"));
 	EXPECT_TRUE(all_answer(401, "k2"));
 }
@@ -78,7 +78,7 @@
 /* Guards against workers that get no requests because the store lost what their
  * nodes have written of them. They joined after the copy, at nodes that ran
  * before. */
-TEST_F(Restore, AWorkerThatJoinedBeforeTheDrillIsServed)
+TEST_F(Restore, AWorkerThatJoinedBeforeTheRestoreIsServed)
 {
 	Machine &front = add("front");
 	Machine &deep = add("deep");
@@ -95,7 +95,7 @@
 	announce_stopped[deep.id] = false;
 	ASSERT_TRUE(wait([&] { return call(front, "/deep/x").status == 200; }));
 	sleep(1);
-	drill(1, "\"k1\"");
+	restore(1, "\"k1\"");
 	sleep(3);
 	int served = 0;
 	for (int i = 0; i < 20; i++) {
@@ -116,7 +116,7 @@
 	copy = platform_store_copy(store);
 	write_config(2, "\"k2\"");
 	ASSERT_TRUE(all_answer(401, "k1"));
-	drill(0, "");
+	restore(0, "");
 	EXPECT_TRUE(all_answer(503, "k2"));
 	EXPECT_TRUE(all_answer(503, "k1"));
 	write_config(2, "\"k2\"");
--- a/test/test_e2e_soak.cc
+++ b/test/test_e2e_soak.cc
@@ -281,7 +281,7 @@
 
 	/* The store is away for a moment and comes back from the copy. The
 	 * operator writes at once what it holds to be the newest version. */
-	void drill(bool with_change)
+	void restore(bool with_change)
 	{
 		int newest = version + (with_change ? 1 : 0);
 
@@ -293,7 +293,7 @@
 		platform_store_restore(store, copy, "op/config",
 				       config(newest, keys(newest)).c_str());
 		acknowledge(newest);
-		n_drills++;
+		n_restores++;
 	}
 
 	/* Often the first write after the copy is the operator's. */
@@ -318,7 +318,7 @@
 		if (kind == 1)
 			kill_node((size_t)pick((int)machines.size()));
 		if (kind == 2)
-			drill(pick(2));
+			restore(pick(2));
 		if (kind == 3)
 			change_config();
 		if (kind == 4)
@@ -421,7 +421,7 @@
 	std::map<size_t, int64_t> started_us;
 	std::map<size_t, std::vector<int64_t>> term_us;
 	std::vector<int64_t> kill_us;
-	int n_stops = 0, n_drills = 0;
+	int n_stops = 0, n_restores = 0;
 	struct platform_copy *copy = nullptr;
 };
 
@@ -482,7 +482,7 @@
 	printf("%s: %d nodes, %zu requests, %d answered, %d versions, %d "
 	       "stops, %zu kills, %d returns of the store\n",
 	       when.c_str(), n, sent.size(), n_answered, version, n_stops,
-	       kill_us.size(), n_drills);
+	       kill_us.size(), n_restores);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, SoakSeed, testing::ValuesIn(seeds()));
