Records of sockets that the library closes while they connect do not stay

Seen: a record of 16 bytes stays for each request that ends while its connection to the worker is not established, as when its caller leaves or the worker does not answer. They are searched before each request is sent, and one whose number a later socket has stands for that one, too.

Cause: the client keeps a record of each open socket until the library calls on_close_socket(). libcurl closes a socket that it has not used yet itself.

Change: a socket that is opened replaces the record of its number, so there are at most as many as descriptors, and the rest goes with the client.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -87,6 +87,20 @@
 
 /* --- open sockets --- */
 
+static void forget_socket(struct fp_http_client *c, curl_socket_t fd)
+{
+	struct open_socket **at = &c->sockets;
+	struct open_socket *o;
+
+	while (*at && (*at)->fd != fd)
+		at = &(*at)->next;
+	o = *at;
+	if (!o)
+		return;
+	*at = o->next;
+	free(o);
+}
+
 /* The library does not tell which socket a request is about to be sent on, only
  * its local port. */
 static curl_socket_t on_open_socket(void *ctx, curlsocktype purpose,
@@ -100,6 +114,9 @@
 	(void)purpose;
 	if (fd < 0)
 		return CURL_SOCKET_BAD;
+	/* The library closes a socket that is still connecting without calling
+	 * on_close_socket(). */
+	forget_socket(c, fd);
 	o = calloc(1, sizeof(*o));
 	if (!o)
 		abort();
@@ -111,17 +128,7 @@
 
 static int on_close_socket(void *ctx, curl_socket_t fd)
 {
-	struct fp_http_client *c = ctx;
-	struct open_socket **at = &c->sockets;
-	struct open_socket *o;
-
-	while (*at && (*at)->fd != fd)
-		at = &(*at)->next;
-	o = *at;
-	if (o) {
-		*at = o->next;
-		free(o);
-	}
+	forget_socket(ctx, fd);
 	return close(fd);
 }
 
@@ -538,6 +545,8 @@
 	free_list(c->active);
 	free_list(c->given_up);
 	curl_multi_cleanup(c->multi);
+	while (c->sockets)
+		forget_socket(c, c->sockets->fd);
 	while (c->n_free)
 		curl_easy_cleanup(c->free[--c->n_free]);
 	fp_timer_cancel(c->loop, &c->timer);
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -205,6 +205,29 @@
 	}
 };
 
+/* Guards against records that stay, and grow in number, of sockets which the
+ * library closes itself: those of connections that are not established when their
+ * request ends. The leak check of the sanitizer sees them. */
+TEST_F(HttpClient, ACancelledConnectLeavesNoRecord)
+{
+	ScriptedServer server({ { answer_to("a") } });
+	struct fp_http_out o = {};
+	struct fp_http_send *s = nullptr;
+	Result r;
+
+	o.method = "GET";
+	o.url = server.url.c_str();
+	o.timeout_us = TIMEOUT_US;
+	o.max_answer_bytes = 100;
+	for (int i = 0; i < 3; i++) {
+		ASSERT_EQ(FP_OK, fp_http_send(client, &o, on_done, &r, &s));
+		fp_loop_run_once(loop, 0);
+		fp_http_cancel(s);
+	}
+	EXPECT_EQ(FP_AGAIN, r.status);
+	EXPECT_EQ(FP_OK, call(server, "a").status);
+}
+
 /* The second copy is there when the next request is sent, or arrives in place
  * of its answer. */
 TEST_F(HttpClient, ASecondCopyIsNotTheAnswerToTheNextRequest)
