A test does not rely on how far socket buffers grow

Cause: the test takes an answer of 4 MiB to be more than both sockets hold. The kernel lets a send buffer grow to 4 MiB, and here a receive buffer to 32 MiB, as fast as acknowledgements come.

Change: the client's socket has a receive buffer of a fixed size and the answer 8 MiB. What is checked stays: an answer that is not sent is open, and none is when it is read.

--- a/test/test_http_pipeline.cc
+++ b/test/test_http_pipeline.cc
@@ -139,6 +139,9 @@
 		struct sockaddr_in sin = {};
 		int s = socket(AF_INET, SOCK_STREAM, 0);
 
+		if (receive_bytes)
+			setsockopt(s, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+				   sizeof(receive_bytes));
 		sin.sin_family = AF_INET;
 		sin.sin_port = htons(fp_http_server_port(server));
 		inet_pton(AF_INET, "127.0.0.1", &sin.sin_addr);
@@ -202,6 +205,7 @@
 	int n_left = 0;
 	struct fp_byte_account *account = nullptr;
 	int fd = -1;
+	int receive_bytes = 0; /* buffer of the client's socket; 0: default */
 	bool closed = false;
 	bool paused = false; /* the client takes no answers */
 };
@@ -314,10 +318,12 @@
  * sent. */
 TEST_F(HttpPipeline, AnAnswerIsOpenUntilItIsSent)
 {
-	std::string big(4 << 20, 'x');
+	/* More than the buffers of both sockets may grow to. */
+	std::string big(8 << 20, 'x');
 	const std::string post =
 		"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
 
+	receive_bytes = 64 << 10;
 	for (const std::string &first : { get("/1"), post }) {
 		paused = true;
 		send_text(first + get("/2"));
