Ends of pipelined connections are reported by the loop

The transport called up while it walked its own lists.

Change: a rule in transport/loop.h: a function that is called from above calls no handler, ends are noted and reported by fp_loop_defer() with nothing else on the stack, and memory goes with the report.

--- a/src/transport/byte_account.h
+++ b/src/transport/byte_account.h
@@ -21,7 +21,9 @@
 	FP_BYTES_NO_ROOM, /**< it waited too long for room */
 };
 
-/** Callbacks to the owner of a holder. */
+/** Callbacks to the owner of a holder, which is within the transport. They may be
+ *  called within any function of the account but fp_byte_end(), and must only note
+ *  what to do (loop.h): they call neither the account nor a handler above. */
 struct fp_byte_holder_ops {
 	/** What it waited for is granted: it may read on. */
 	void (*resume)(struct fp_byte_holder *h);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -60,8 +60,8 @@
 	size_t body_bytes;
 };
 
-/** Called once for each send that is not cancelled; r is valid until it
- *  returns. */
+/** Called once for each send that is not cancelled, from the loop (loop.h); r is
+ *  valid until it returns. */
 typedef void (*fp_http_done_fn)(void *ctx, const struct fp_http_result *r);
 
 /**
--- a/src/transport/http_pipeline.c
+++ b/src/transport/http_pipeline.c
@@ -21,6 +21,9 @@
  * read, which holds the client back. Answers draw from the account of the node.
  * A node that stops reads one request at a time, so that the answer that closes
  * a connection leaves none behind it.
+ *
+ * A connection that ends leaves the list of the open ones at once, and the library
+ * or the handler is told by the loop (loop.h). Nothing else frees it.
  */
 #include "transport/http_pipeline.h"
 
@@ -65,7 +68,7 @@
 	size_t head_bytes;
 	struct http_pipelined *next; /* later request of the connection */
 	void *value;
-	char *answer; /* NULL: not answered */
+	char *answer; /* NULL: not answered, or the connection had ended */
 	size_t answer_bytes;
 	size_t sent_bytes;
 	bool close_after;
@@ -79,6 +82,7 @@
 	uint32_t address;
 	struct fp_watch *watch;
 	struct fp_timer retry;
+	struct fp_deferred end;
 	struct http_pipelined *first;
 	struct http_pipelined *last;
 	uint32_t n_requests;
@@ -86,8 +90,9 @@
 	size_t head_bytes; /* of the requests that are not answered */
 	size_t held_bytes; /* answers not sent */
 	int64_t used_us; /* last request or answer */
-	bool busy; /* a function below is using it; do not free */
+	bool busy; /* its requests are being read; answers wait for their end */
 	bool gone; /* failed or closed by the client */
+	bool ended; /* in the list of ended connections */
 	bool handing_over; /* reads no more; the library takes it when empty */
 	bool closing; /* the last answer was sent */
 	bool waiting; /* for the rest of a head */
@@ -103,6 +108,7 @@
 	int listen_fd;
 	struct fp_watch *listener;
 	struct connection *open;
+	struct connection *ended; /* their ends are not reported yet */
 	uint32_t n_open;
 	bool keep_alive_disabled;
 	time_t date_s; /* that date shows */
@@ -248,29 +254,76 @@
 	free(t);
 }
 
-/* Frees a connection; keep_fd: its descriptor has a new owner. */
-static void connection_free(struct connection *c, bool keep_fd)
+static void connection_link(struct connection *c, struct connection **list)
 {
-	struct http_pipeline *p = c->p;
-	struct http_pipelined *t;
+	c->next = *list;
+	if (c->next)
+		c->next->pprev = &c->next;
+	c->pprev = list;
+	*list = c;
+}
 
-	fp_watch_del(c->watch);
-	fp_timer_cancel(p->loop, &c->retry);
+static void connection_unlink(struct connection *c)
+{
 	*c->pprev = c->next;
 	if (c->next)
 		c->next->pprev = c->pprev;
-	p->n_open--;
-	if (!keep_fd)
-		close(c->fd);
-	while ((t = c->first)) {
-		void *value = t->answer ? NULL : t->value;
+}
 
-		c->first = t->next;
-		request_free(t);
+/* Frees the first request of a connection; returns its value if it was not
+ * answered, else NULL. */
+static void *drop_first(struct connection *c)
+{
+	struct http_pipelined *t = c->first;
+	void *value = t->answer ? NULL : t->value;
+
+	c->first = t->next;
+	request_free(t);
+	return value;
+}
+
+static void connection_free(struct connection *c)
+{
+	fp_loop_cancel(c->p->loop, &c->end);
+	connection_unlink(c);
+	while (c->first)
+		drop_first(c);
+	free(c);
+}
+
+/* Reports the end of a connection. The handler may answer other requests of it
+ * meanwhile. */
+static void report_end(void *ctx)
+{
+	struct connection *c = ctx;
+	struct http_pipeline *p = c->p;
+	void *value;
+
+	while (c->first) {
+		value = drop_first(c);
 		if (value)
 			p->h.left(p->h.ctx, value);
 	}
-	free(c);
+	if (!c->gone)
+		p->h.hand_over(p->h.ctx, c->fd);
+	connection_free(c);
+}
+
+/* Ends a connection: closes it if it is gone, else its descriptor gets a new
+ * owner. */
+static void connection_end(struct connection *c)
+{
+	struct http_pipeline *p = c->p;
+
+	fp_watch_del(c->watch);
+	fp_timer_cancel(p->loop, &c->retry);
+	if (c->gone)
+		close(c->fd);
+	connection_unlink(c);
+	connection_link(c, &p->ended);
+	c->ended = true;
+	p->n_open--;
+	fp_loop_defer(p->loop, &c->end, report_end, c);
 }
 
 static uint32_t max_pipelined(const struct connection *c)
@@ -327,23 +380,15 @@
 		shutdown(c->fd, SHUT_WR);
 }
 
-/* Ends, hands over or watches a connection, as its state requires; it may be
- * freed when this returns. */
+/* Ends or watches a connection, as its state requires. */
 static void settle(struct connection *c)
 {
-	struct http_pipeline *p = c->p;
 	bool unsent = c->first && c->first->answer;
-	int fd = c->fd;
 
 	if (c->busy)
 		return;
-	if (c->gone) {
-		connection_free(c, false);
-		return;
-	}
-	if (c->handing_over && !c->first && !c->closing) {
-		connection_free(c, true);
-		p->h.hand_over(p->h.ctx, fd);
+	if (c->gone || (c->handing_over && !c->first && !c->closing)) {
+		connection_end(c);
 		return;
 	}
 	set_events(c, (may_read(c) ? FP_READABLE : 0) |
@@ -502,11 +547,7 @@
 		free(c);
 		return;
 	}
-	c->next = p->open;
-	if (c->next)
-		c->next->pprev = &c->next;
-	c->pprev = &p->open;
-	p->open = c;
+	connection_link(c, &p->open);
 	p->n_open++;
 }
 
@@ -525,7 +566,8 @@
 	fp_log(FP_LOG_INFO, "connection_closed",
 	       "cause=connections open=%u idle_ms=%" PRId64, p->n_open,
 	       (fp_loop_now_us(p->loop) - oldest->used_us) / FP_US_PER_MS);
-	connection_free(oldest, false);
+	oldest->gone = true;
+	connection_end(oldest);
 	return true;
 }
 
@@ -682,6 +724,10 @@
 {
 	struct connection *c = req->conn;
 
+	if (c->ended) {
+		req->value = NULL;
+		return true;
+	}
 	if (body_bytes && !hold(req, body_bytes))
 		return false;
 	c->head_bytes -= req->head_bytes;
@@ -725,6 +771,7 @@
 			c->gone = c->gone || now_us - c->used_us > IDLE_US;
 		if (!c->gone && c->first && !(c->events & FP_READABLE))
 			c->gone = client_left(c);
+		/* Takes c out of this list and calls nobody. */
 		if (c->gone)
 			settle(c);
 	}
@@ -771,7 +818,10 @@
 	http_pipeline_quiesce(p);
 	for (c = p->open; c; c = next) {
 		next = c->next;
-		connection_free(c, false);
+		c->gone = true;
+		connection_end(c);
 	}
+	while (p->ended)
+		connection_free(p->ended);
 	free(p);
 }
--- a/src/transport/http_pipeline.h
+++ b/src/transport/http_pipeline.h
@@ -24,6 +24,8 @@
 	uint32_t n_headers;
 };
 
+/** Callbacks from the loop, see loop.h; may_accept and close_idle answer from
+ *  counts and call nothing above. */
 struct http_pipeline_handler {
 	/** A request arrived. text holds the texts of head and is the handler's
 	 * to free. The handler must call http_pipeline_answer() once, unless
@@ -65,11 +67,14 @@
 				  const struct http_pipeline_handler *h,
 				  struct http_pipeline **out);
 
-/** Sets the value that identifies the request at left(). */
+/** Sets the value that identifies the request at left(). Like
+ *  http_pipeline_answer(), valid until the request is answered or left() is
+ *  called for it, also if its connection has ended. */
 void http_pipeline_set(struct http_pipelined *req, void *value);
 
 /**
- * Answers a request; answers are sent in the order of the requests.
+ * Answers a request; answers are sent in the order of the requests. The answer is
+ * dropped if the connection has ended.
  *
  * @return false: there is no room for the answer, and nothing was done
  */
@@ -90,7 +95,8 @@
 /** Closes each connection once it has no request to answer. */
 void http_pipeline_disable_keep_alive(struct http_pipeline *p);
 
-/** Closes all connections; accepts NULL. */
+/** Closes all connections and frees their requests, without calling the handler;
+ *  accepts NULL. */
 void http_pipeline_end(struct http_pipeline *p);
 
 #ifdef __cplusplus
--- a/src/transport/loop.c
+++ b/src/transport/loop.c
@@ -6,6 +6,10 @@
  * search. Other threads post work to a locked list and wake the pollset only if
  * the list was empty before.
  *
+ * Deferred work is a list, run after descriptors, posted work and timers. What the
+ * hooks at the end of an iteration defer is run in the next one, before which the
+ * loop does not wait.
+ *
  * A watch that is removed during an iteration may still be in the list of ready
  * descriptors, so its memory is reused only after the iteration.
  */
@@ -53,6 +57,8 @@
 	pthread_mutex_t post_lock; /* guards the posted list */
 	struct posted *post_head;
 	struct posted **post_tail;
+	struct fp_deferred *deferred; /* list, oldest first */
+	struct fp_deferred **deferred_tail;
 	struct {
 		fp_loop_fn fn;
 		void *ctx;
@@ -97,6 +103,7 @@
 	l->clock = clock;
 	l->now_us = fp_mono_us(clock);
 	l->post_tail = &l->post_head;
+	l->deferred_tail = &l->deferred;
 	pthread_mutex_init(&l->post_lock, NULL);
 	if (apr_pool_create(&l->pool, NULL) != APR_SUCCESS) {
 		free(l);
@@ -253,6 +260,44 @@
 	}
 }
 
+/* --- deferred work --- */
+
+void fp_loop_defer(struct fp_loop *l, struct fp_deferred *d, fp_loop_fn fn,
+		   void *ctx)
+{
+	if (d->pprev)
+		return;
+	d->fn = fn;
+	d->ctx = ctx;
+	d->next = NULL;
+	d->pprev = l->deferred_tail;
+	*l->deferred_tail = d;
+	l->deferred_tail = &d->next;
+}
+
+void fp_loop_cancel(struct fp_loop *l, struct fp_deferred *d)
+{
+	if (!d->pprev)
+		return;
+	*d->pprev = d->next;
+	if (d->next)
+		d->next->pprev = d->pprev;
+	else
+		l->deferred_tail = d->pprev;
+	d->pprev = NULL;
+}
+
+/* Work that is deferred meanwhile is run, too. */
+static void run_deferred(struct fp_loop *l)
+{
+	struct fp_deferred *d;
+
+	while ((d = l->deferred)) {
+		fp_loop_cancel(l, d);
+		d->fn(d->ctx);
+	}
+}
+
 /* --- descriptors --- */
 
 static struct fp_watch *watch_alloc(struct fp_loop *l)
@@ -358,6 +403,8 @@
 	int64_t wait = max_wait_us;
 	int64_t until;
 
+	if (l->deferred)
+		return 0;
 	if (!l->heap_used)
 		return wait;
 	until = l->heap[0]->due_us - fp_mono_us(l->clock);
@@ -382,6 +429,7 @@
 	dispatch(ready, n);
 	run_posted(l);
 	run_timers(l);
+	run_deferred(l);
 	for (i = 0; i < l->n_hooks; i++)
 		l->hooks[i].fn(l->hooks[i].ctx);
 	reuse_removed(l);
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -2,6 +2,22 @@
  *
  * All functions are for the loop's thread, except fp_loop_post() and
  * fp_loop_stop().
+ *
+ * Rule for all that runs on a loop and has a handler: the transport, which finds
+ * requests, answers and ends of connections, and the calls above it.
+ *
+ * - A function that is called from above never calls a handler before it returns.
+ *   What it finds meanwhile, such as a connection that has ended, is noted.
+ * - Ends are never reported while a list is walked, by the transport or by a
+ *   library below it. They are noted there, and reported from the loop itself by
+ *   fp_loop_defer(), when nothing else is on the stack.
+ * - Memory of a connection or request is freed after its end was reported, by that
+ *   report or later. Until then functions from above may name it; they have no
+ *   effect.
+ *
+ * So a handler may end any connection and any call, its own too, and each function
+ * may rely on its own objects until it returns. The one exception is a callback
+ * that only counts; its documentation says so.
  */
 #ifndef FP_TRANSPORT_LOOP_H
 #define FP_TRANSPORT_LOOP_H
@@ -40,6 +56,15 @@
 	void *ctx;
 };
 
+/** Work that is due when everything that the loop called has returned. It is
+ *  embedded in a struct of its user and must be zeroed before its first use. */
+struct fp_deferred {
+	struct fp_deferred *next;
+	struct fp_deferred **pprev; /**< NULL when it is not due */
+	fp_loop_fn fn;
+	void *ctx;
+};
+
 /** Creates a loop, which belongs to the thread that calls fp_loop_run(); FP_OK,
  *  FP_NOMEM or FP_IO. */
 enum fp_status fp_loop_init(struct fp_clock *clock, struct fp_loop **out);
@@ -60,6 +85,15 @@
  *  Any thread. */
 void fp_loop_post(struct fp_loop *l, fp_loop_fn fn, void *ctx);
 
+/** Calls fn from the loop itself, in the order of deferral: at the end of this
+ *  iteration, or in the next one, which then starts at once. Has no effect if the
+ *  work is deferred already. */
+void fp_loop_defer(struct fp_loop *l, struct fp_deferred *d, fp_loop_fn fn,
+		   void *ctx);
+/** Cancels deferred work, which must be done before its memory is freed; has no
+ *  effect if it is not due. */
+void fp_loop_cancel(struct fp_loop *l, struct fp_deferred *d);
+
 /** Registers fn to be called at the end of each iteration, before the loop
  *  waits. */
 void fp_loop_after_iteration(struct fp_loop *l, fp_loop_fn fn, void *ctx);
--- a/test/test_http_pipeline.cc
+++ b/test/test_http_pipeline.cc
@@ -115,6 +115,7 @@
 			auto *t = static_cast<HttpPipeline *>(ctx);
 
 			t->n_left++;
+			t->answer_all(t->on_left);
 			for (auto &w : t->waiting)
 				if (w.second == x) {
 					t->waiting.erase(w.first);
@@ -182,6 +183,14 @@
 		waiting.erase(uri);
 		fp_http_reply(x, 200, &h, 1, text.data(), text.size());
 	}
+	/* Answers those of the requests that wait, as a handler may at any
+	 * time. */
+	void answer_all(const std::vector<std::string> &some)
+	{
+		for (const auto &uri : some)
+			if (waiting.count(uri))
+				answer(uri);
+	}
 	static std::string get(const std::string &uri)
 	{
 		return "GET " + uri + " HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -201,6 +210,7 @@
 	std::vector<std::string> uris;
 	std::vector<std::string> bodies;
 	std::map<std::string, struct fp_http_exchange *> waiting;
+	std::vector<std::string> on_left; /* answered when a client leaves */
 	std::string got;
 	int n_left = 0;
 	struct fp_byte_account *account = nullptr;
@@ -356,6 +366,47 @@
 	EXPECT_EQ(0u, fp_http_server_open_exchanges(server));
 }
 
+const std::string post_of_none =
+	"POST /post HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+
+/* Guards against a node that ends with the connection of a client: the answer to a
+ * nested call of its request lets the connection behind it in the list pass to the
+ * library, while the list is walked. */
+TEST_F(HttpPipeline, AClientThatLeavesMayEndTheNextConnection)
+{
+	int other;
+
+	send_text(get("/nested") + post_of_none);
+	other = fd;
+	fd = -1;
+	send_text(get("/root") + post_of_none);
+	ASSERT_EQ(2u, waiting.size());
+	on_left = { "/nested" };
+	close(fd);
+	fd = other;
+	run(200);
+	EXPECT_EQ(1, n_left);
+	EXPECT_EQ("</nested>", order());
+	EXPECT_EQ(1u, waiting.count("/post"));
+	answer_all({ "/post" });
+	run();
+	EXPECT_EQ("</nested></post>", order());
+}
+
+/* Guards against a connection that is freed twice: the handler answers a request
+ * whose own connection has just ended. */
+TEST_F(HttpPipeline, AClientThatLeavesMayHaveItsOtherRequestsAnswered)
+{
+	send_text(get("/1") + get("/2") + get("/3"));
+	ASSERT_EQ(3u, waiting.size());
+	on_left = { "/2", "/3" };
+	close(fd);
+	fd = -1;
+	run(200);
+	EXPECT_EQ(1, n_left);
+	EXPECT_EQ(0u, fp_http_server_open_exchanges(server));
+}
+
 TEST_F(HttpPipeline, AClientThatLeftIsNoticedBehindRequestsThatAreNotRead)
 {
 	std::string text;
