A server reports clients that left by the loop

Cause: on_sweep() held a pointer to the next exchange while it called client_left, and on_completed() called it while the library walks its connections. A handler may answer any exchange then, and one that was read ahead is freed by its answer.

Change: both note the exchange; the loop calls client_left, if the exchange still waits (rule of transport/loop.h).

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -7,7 +7,9 @@
  * that is not answered at once suspends its connection, so no thread blocks.
  *
  * The library does not poll a suspended connection. A periodic sweep peeks at
- * the sockets of suspended exchanges to detect clients that disconnected.
+ * the sockets of suspended exchanges to detect clients that disconnected. The
+ * handler is told by the loop (loop.h), since it may answer any other exchange,
+ * which frees it, while the sweep or the library walks its list.
  *
  * Bodies and answers draw from the account of the node (transport/byte_account.h). A
  * body without room is not read: its connection is suspended. A request that is
@@ -119,6 +121,7 @@
 {
 	struct fp_http_server *s = x->server;
 
+	fp_loop_cancel(s->loop, &x->left);
 	*x->pprev = x->next;
 	if (x->next)
 		x->next->pprev = x->pprev;
@@ -152,13 +155,21 @@
 	return x;
 }
 
-static void notify_client_left(struct fp_http_exchange *x)
+static void report_client_left(void *ctx)
 {
-	if (x->left_notified || x->state != WAITING)
+	struct fp_http_exchange *x = ctx;
+	struct fp_http_handler *h = &x->server->handler;
+
+	if (x->state == WAITING && h->client_left)
+		h->client_left(h->ctx, x);
+}
+
+static void note_client_left(struct fp_http_exchange *x)
+{
+	if (x->left_noted || x->state != WAITING)
 		return;
-	x->left_notified = true;
-	if (x->server->handler.client_left)
-		x->server->handler.client_left(x->server->handler.ctx, x);
+	x->left_noted = true;
+	fp_loop_defer(x->server->loop, &x->left, report_client_left, x);
 }
 
 static void on_completed(void *ctx, struct MHD_Connection *conn, void **con_cls,
@@ -182,7 +193,7 @@
 	/* The handler has not answered yet; fp_http_reply() frees x. */
 	x->ended = true;
 	x->conn = NULL;
-	notify_client_left(x);
+	note_client_left(x);
 }
 
 static enum MHD_Result store_header(void *ctx, enum MHD_ValueKind kind,
@@ -404,7 +415,7 @@
 	(void)ctx;
 	x->pipelined = NULL;
 	x->ended = true;
-	notify_client_left(x);
+	note_client_left(x);
 }
 
 static void on_hand_over(void *ctx, int fd)
@@ -440,12 +451,10 @@
 {
 	struct fp_http_server *s = ctx;
 	struct fp_http_exchange *x;
-	struct fp_http_exchange *next;
 
-	for (x = s->open; x; x = next) {
-		next = x->next;
-		if (x->suspended && !x->left_notified && intake_client_left(x))
-			notify_client_left(x);
+	for (x = s->open; x; x = x->next) {
+		if (x->suspended && !x->left_noted && intake_client_left(x))
+			note_client_left(x);
 		if (intake_is_overdue(x, fp_loop_now_us(s->loop)))
 			intake_end_connection(x);
 	}
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -34,7 +34,7 @@
 	size_t body_bytes;
 };
 
-/** Callbacks of a server. */
+/** Callbacks of a server, which follow the rule of loop.h. */
 struct fp_http_handler {
 	/** A complete request arrived. The handler must call fp_http_reply()
 	 *  exactly once, now or later. */
@@ -46,7 +46,8 @@
 	 */
 	void (*client_left)(void *ctx, struct fp_http_exchange *x);
 	/** The server itself refused a request: HTTP status 400, 408, 413, 431 or
-	 *  503. */
+	 *  503. May be called within any function of the transport, so it must
+	 *  only count. */
 	void (*refused)(void *ctx, int http_status);
 	void *ctx;
 };
@@ -93,7 +94,7 @@
 uint8_t *fp_http_take_body(struct fp_http_exchange *x);
 
 /** Sends the answer; headers and body are copied. The handler must not use the
- *  exchange afterwards. */
+ *  exchange afterwards, and client_left is not called for it any more. */
 void fp_http_reply(struct fp_http_exchange *x, int status,
 		   const struct fp_http_header *headers, uint32_t n_headers,
 		   const void *body, size_t body_bytes);
--- a/src/transport/http_server_private.h
+++ b/src/transport/http_server_private.h
@@ -36,7 +36,8 @@
 	enum exchange_state state;
 	bool suspended;
 	bool in_handler; /* the request callback is on the stack */
-	bool left_notified; /* the handler was notified of the disconnect */
+	bool left_noted; /* the disconnect was found, and is reported once */
+	struct fp_deferred left; /* that report */
 	bool ending; /* its connection is to end */
 	bool ended; /* the library has completed it; the answer is dropped */
 	char *uri; /* raw */
--- a/test/test_http_pipeline.cc
+++ b/test/test_http_pipeline.cc
@@ -407,6 +407,26 @@
 	EXPECT_EQ(0u, fp_http_server_open_exchanges(server));
 }
 
+/* Guards against a sweep over exchanges that goes on behind one which was freed:
+ * a client of the library leaves, and the handler answers another request. */
+TEST_F(HttpPipeline, AClientOfTheLibraryThatLeavesMayEndOtherExchanges)
+{
+	int other;
+
+	send_text(get("/1") + get("/2") + get("/3"));
+	other = fd;
+	fd = -1;
+	send_text(post_of_none);
+	ASSERT_EQ(4u, waiting.size());
+	on_left = { "/1", "/2", "/3" };
+	close(fd);
+	fd = other;
+	run(200);
+	EXPECT_EQ(1, n_left);
+	EXPECT_EQ("</1></2></3>", order());
+	EXPECT_EQ(0u, fp_http_server_open_exchanges(server));
+}
+
 TEST_F(HttpPipeline, AClientThatLeftIsNoticedBehindRequestsThatAreNotRead)
 {
 	std::string text;
