A link that is dropped is reported as down by the loop

Seen in a test only: fp_peer_drop() calls the handler before it returns, while the call layer is in the middle of a message; its down() ends calls and executions. No crash by it was found; the callers of today use nothing of them afterwards.

Cause: link_close() called down() wherever it was called, also from above and in the walk over the links at a tick.

Change: it notes the link; the loop reports it (rule of transport/loop.h), or on_link_ready() at its end, so that a link which replaces it is up after it. A link is freed at a tick after its report.

Evidence: Peer.ADroppedLinkIsReportedOnceAndByTheLoop: down() was called within fp_peer_drop() before; passes now, with the rest of test_peer, address sanitizer.

--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -70,7 +70,7 @@
 	WAIT_ACCEPT, /* dialed, HELLO sent */
 	WAIT_FINISH, /* ACCEPT sent */
 	UP,
-	CLOSED, /* freed at the next tick */
+	CLOSED, /* freed at the next tick after it was reported as down */
 };
 
 struct fp_peer_link {
@@ -80,6 +80,8 @@
 	bool was_up;
 	int fd;
 	struct fp_watch *watch;
+	struct fp_deferred down; /* report that it is CLOSED */
+	bool down_reported;
 	struct fp_peer_identity peer; /* if dialed, addr is set at once */
 	struct fp_transcript transcript;
 	uint8_t secret[FP_PEER_SECRET_BYTES]; /* the one that verified */
@@ -138,6 +140,19 @@
 
 /* --- closing --- */
 
+static void report_down(void *ctx)
+{
+	struct fp_peer_link *l = ctx;
+	struct fp_peer_handler *h = &l->net->handler;
+
+	if (l->down_reported)
+		return;
+	fp_loop_cancel(l->net->loop, &l->down);
+	l->down_reported = true;
+	if (h->down)
+		h->down(h->ctx, l, l->was_up);
+}
+
 static void link_close(struct fp_peer_link *l, const char *why)
 {
 	struct fp_peer_net *n = l->net;
@@ -156,12 +171,12 @@
 	if (l->fd >= 0)
 		close(l->fd);
 	l->fd = -1;
-	if (n->handler.down)
-		n->handler.down(n->handler.ctx, l, l->was_up);
+	fp_loop_defer(n->loop, &l->down, report_down, l);
 }
 
 static void link_free(struct fp_peer_link *l)
 {
+	fp_loop_cancel(l->net->loop, &l->down);
 	fp_buffer_free(&l->in);
 	fp_buffer_free(&l->out);
 	fp_buffer_free(&l->queued);
@@ -523,10 +538,8 @@
 	send_hello(l);
 }
 
-static void on_link_ready(void *ctx, uint32_t events)
+static void handle_events(struct fp_peer_link *l, uint32_t events)
 {
-	struct fp_peer_link *l = ctx;
-
 	if (l->state == CONNECTING) {
 		if (events & (FP_WRITABLE | FP_HANGUP))
 			on_connected(l);
@@ -541,6 +554,17 @@
 		read_available(l);
 }
 
+static void on_link_ready(void *ctx, uint32_t events)
+{
+	struct fp_peer_link *l = ctx;
+
+	handle_events(l, events);
+	/* The loop called this, so the end need not wait; a link that replaces
+	 * this one is then reported as up after it. */
+	if (l->state == CLOSED)
+		report_down(l);
+}
+
 /* --- opening --- */
 
 static struct fp_peer_link *link_new(struct fp_peer_net *n, int fd, bool dialed)
@@ -684,7 +708,7 @@
 	struct fp_peer_link *l;
 
 	while ((l = *at)) {
-		if (l->state != CLOSED) {
+		if (l->state != CLOSED || !l->down_reported) {
 			at = &l->next;
 			continue;
 		}
@@ -861,8 +885,10 @@
 		return;
 	n->handler.down = NULL;
 	fp_timer_cancel(n->loop, &n->tick);
-	for (l = n->links; l; l = l->next)
+	for (l = n->links; l; l = l->next) {
 		link_close(l, "this node stops");
+		report_down(l);
+	}
 	free_closed(n);
 	fp_peer_quiesce(n);
 	sodium_memzero(n->secrets, sizeof(n->secrets));
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -35,7 +35,7 @@
 	char addr[FP_PEER_ADDR_BYTES]; /**< address on which it listens */
 };
 
-/** Callbacks to the owner of a net. */
+/** Callbacks to the owner of a net, from the loop only (loop.h). */
 struct fp_peer_handler {
 	/** A complete frame arrived; data is valid until the return. */
 	void (*frame)(void *ctx, struct fp_peer_link *link, const uint8_t *data,
@@ -45,7 +45,7 @@
 	void (*up)(void *ctx, struct fp_peer_link *link);
 	/**
 	 * A link was closed. Frames sent on it may have arrived if was_up, and
-	 * have not arrived otherwise.
+	 * have not arrived otherwise. It is freed some time after the return.
 	 */
 	void (*down)(void *ctx, struct fp_peer_link *link, bool was_up);
 	/** A link on which frames waited has room again; NULL: not needed. */
@@ -111,7 +111,8 @@
 /** Returns whether frames for established links are not written yet. */
 bool fp_peer_has_unsent(const struct fp_peer_net *n);
 
-/** Closes a link whose other end violated the protocol, and counts that. */
+/** Closes a link whose other end violated the protocol, and counts that. It is
+ *  reported as down when the functions on the stack have returned. */
 void fp_peer_drop(struct fp_peer_link *l, const char *why);
 
 /** Stops listening; open links remain. */
--- a/test/test_peer.cc
+++ b/test/test_peer.cc
@@ -159,6 +159,27 @@
 	EXPECT_EQ("back", a.frames[0]);
 }
 
+/* Guards against a handler that is called, and ends calls, while the function that
+ * dropped the link still uses them. */
+TEST_F(Peer, ADroppedLinkIsReportedOnceAndByTheLoop)
+{
+	open(a, { 1 }, 11);
+	open(b, { 1 }, 22);
+	struct fp_peer_link *l = fp_peer_link_to(a.net, b.addr.c_str());
+
+	ASSERT_NE(nullptr, l);
+	ASSERT_TRUE(run_until([&] { return a.ups == 1 && b.ups == 1; }));
+	fp_peer_drop(l, "test");
+	fp_peer_drop(l, "test");
+	EXPECT_EQ(0, a.downs_after_up);
+	EXPECT_FALSE(fp_peer_is_up(l));
+	EXPECT_EQ(FP_UNAVAILABLE, fp_peer_send(l, "x", 1));
+	EXPECT_NE(l, fp_peer_link_to(a.net, b.addr.c_str()));
+	ASSERT_TRUE(run_until([&] { return a.ups == 2 && b.ups == 2; }));
+	EXPECT_EQ(1, a.downs_after_up);
+	EXPECT_EQ(1, b.downs_after_up);
+}
+
 TEST_F(Peer, WrongSecretNeverComesUp)
 {
 	open(a, { 1 }, 11);
