A call ends before its attempt is cancelled

Seen in a test only: a node may end at the deadline of a call, with all requests that it has passed on.

Cause: on_deadline() cancelled the execution of the call and used the call afterwards. The end of an execution frees a slot; admission may give it to one that cannot run any more, whose end ends its nested calls. By its id the call may be one of them. on_attempt_timeout() and call_client_left() had the same order.

Change: what identifies the attempt is copied, the call ends or goes on, and the attempt is cancelled last, when no call is in use.

--- a/src/node/call.c
+++ b/src/node/call.c
@@ -265,20 +265,38 @@
 
 /* --- attempts --- */
 
-static void send_cancel(struct call *c)
+/* What is needed to cancel an attempt when its call no longer exists. */
+struct attempt {
+	struct fp_peer_link *link; /* NULL: at the worker of this node */
+	uint64_t corr; /* 0: there is nothing to cancel */
+};
+
+static struct attempt attempt_of(const struct call *c)
 {
-	msgpack_sbuffer buf;
+	struct attempt a = { .link = c->link, .corr = c->corr };
 
 	/* A non-idempotent execution is never interrupted. */
-	if (!c->corr || c->awaits_link || c->msg.non_idempotent)
+	if (c->awaits_link || c->msg.non_idempotent)
+		a.corr = 0;
+	return a;
+}
+
+/* Cancels an attempt whose call has ended or gone on. The end of its execution
+ * lets admission decide about others, and so may end any call: no call may be in
+ * use here. */
+static void cancel_attempt(struct fp_traffic *t, const struct attempt *a)
+{
+	msgpack_sbuffer buf;
+
+	if (!a->corr)
 		return;
-	if (!c->link) {
-		execution_cancel(c->t, NULL, c->corr);
+	if (!a->link) {
+		execution_cancel(t, NULL, a->corr);
 		return;
 	}
 	msgpack_sbuffer_init(&buf);
-	fp_msg_cancel_encode(c->corr, &buf);
-	fp_peer_send(c->link, buf.data, buf.size);
+	fp_msg_cancel_encode(a->corr, &buf);
+	fp_peer_send(a->link, buf.data, buf.size);
 	msgpack_sbuffer_destroy(&buf);
 }
 
@@ -292,20 +310,22 @@
 static void on_deadline(void *ctx)
 {
 	struct call *c = ctx;
+	struct fp_traffic *t = c->t;
+	struct attempt a = attempt_of(c);
 	enum fp_outcome outcome = c->corr && !is_unsent(c) ?
 					  FP_OUTCOME_UNKNOWN :
 					  FP_OUTCOME_NOT_RUN;
-	int64_t now_us = fp_loop_now_us(c->t->loop);
+	int64_t now_us = fp_loop_now_us(t->loop);
 
 	if (c->corr) {
-		fp_balancer_call_ended(c->t->balancer, c->worker,
+		fp_balancer_call_ended(t->balancer, c->worker,
 				       FP_BALANCER_FAILED, now_us - c->sent_us,
 				       NULL, now_us);
-		fp_run_times_add(c->t->call_times, c->msg.route,
+		fp_run_times_add(t->call_times, c->msg.route,
 				 now_us - c->started_us, now_us);
 	}
-	send_cancel(c);
 	call_refuse(c, outcome, FP_REASON_DEADLINE, 0);
+	cancel_attempt(t, &a);
 }
 
 static bool may_retry_unknown(const struct call *c)
@@ -426,14 +446,16 @@
 static void on_attempt_timeout(void *ctx)
 {
 	struct call *c = ctx;
-	int64_t now_us = fp_loop_now_us(c->t->loop);
+	struct fp_traffic *t = c->t;
+	struct attempt a = attempt_of(c);
+	int64_t now_us = fp_loop_now_us(t->loop);
 
 	if (!may_retry_unknown(c))
 		return;
-	fp_balancer_call_ended(c->t->balancer, c->worker, FP_BALANCER_FAILED,
+	fp_balancer_call_ended(t->balancer, c->worker, FP_BALANCER_FAILED,
 			       now_us - c->sent_us, NULL, now_us);
-	send_cancel(c);
 	attempt_lost(c, true);
+	cancel_attempt(t, &a);
 }
 
 /*
@@ -732,6 +754,7 @@
 void call_client_left(struct fp_traffic *t, struct fp_http_exchange *x)
 {
 	struct call *c = fp_http_exchange_get(x);
+	struct attempt a;
 
 	if (!c)
 		return;
@@ -744,8 +767,9 @@
 		fp_balancer_call_ended(t->balancer, c->worker,
 				       FP_BALANCER_CANCELLED, 0, NULL,
 				       fp_loop_now_us(t->loop));
-	send_cancel(c);
+	a = attempt_of(c);
 	call_refuse(c, FP_OUTCOME_UNKNOWN, FP_REASON_CUT, 0);
+	cancel_attempt(t, &a);
 }
 
 /* Returns a nested call of the parent that must still be cancelled, or NULL. */
--- a/test/ends_sim.h
+++ b/test/ends_sim.h
@@ -262,6 +262,7 @@
 	Client *nested = nullptr; /* kept by the server for its calls */
 	std::unique_ptr<Stream> announcer;
 	uint64_t sequence = 0;
+	const char *state = "ready"; /* that the server announces */
 
       private:
 	void listen()
@@ -284,7 +285,9 @@
 class World
 {
       public:
-	World(uint64_t seed, int net) : random(seed)
+	/* slots: of each server */
+	World(uint64_t seed, int net, int slots = 6)
+	    : slots(slots), random(seed)
 	{
 		std::string base = "127." + std::to_string(100 + net % 150) +
 				   "." + std::to_string(net / 150 % 250 + 1) +
@@ -365,7 +368,7 @@
 
 	int n_answers = 0, n_left = 0, n_nested = 0;
 
-      private:
+      protected:
 	int pick(int n)
 	{
 		return (int)(random() % (uint64_t)n);
@@ -461,7 +464,7 @@
 				strcpy(k->failure_domain, "d");
 				strcpy(k->region, "r");
 				strcpy(k->service, of.settings.service);
-				k->slots = 6;
+				k->slots = (uint32_t)slots;
 				k->serving = true;
 			}
 			fp_traffic_set_members(to->t, m);
@@ -472,8 +475,9 @@
 		std::string body =
 			std::string("{\"service\":\"") + n->settings.service +
 			"\",\"address\":\"" + n->settings.backend_address +
-			"\",\"zone\":\"d\",\"version\":\"v\",\"slots\":6,"
-			"\"state\":\"ready\",\"coldRemaining\":\"0ms\","
+			"\",\"zone\":\"d\",\"version\":\"v\",\"slots\":" +
+			std::to_string(slots) + ",\"state\":\"" + n->state +
+			"\",\"coldRemaining\":\"0ms\","
 			"\"sequence\":" +
 			std::to_string(++n->sequence) + ",\"born\":1000}";
 
@@ -801,6 +805,7 @@
 		}
 	}
 
+	int slots;
 	std::mt19937_64 random;
 	struct fp_manual_clock clock;
 	std::vector<std::unique_ptr<Node>> nodes;
--- a/test/test_connection_ends.cc
+++ b/test/test_connection_ends.cc
@@ -33,7 +33,7 @@
 	return "seeded";
 }
 
-void play(uint64_t seed)
+void seed_product(uint64_t seed)
 {
 	static struct randombytes_implementation source = {
 		source_name, next_random, nullptr, nullptr, fill_random, nullptr
@@ -42,6 +42,11 @@
 	ASSERT_EQ(APR_SUCCESS, apr_initialize());
 	randombytes_set_implementation(&source);
 	product_random.seed(seed);
+}
+
+void play(uint64_t seed)
+{
+	seed_product(seed);
 	ends::World w(seed, getpid());
 
 	w.play(400);
@@ -89,4 +94,74 @@
 	}
 }
 
+/* Servers with one slot, and requests that a test chooses. */
+class Chosen : public ends::World
+{
+      public:
+	Chosen() : World(1, getpid(), 1)
+	{
+	}
+	ends::Client *send_get(size_t node, const char *id, int deadline_ms)
+	{
+		ends::Client *c = connect_to(nodes[node].get());
+
+		c->ids.push_back(id);
+		c->stream.put("GET /front/safe/1 HTTP/1.1\r\nHost: h\r\n"
+			      "Fulmarpass-Request-Id: " +
+			      std::string(id) + "\r\nFulmarpass-Deadline-Ms: " +
+			      std::to_string(deadline_ms) + "\r\n\r\n");
+		c->stream.move();
+		turns(20, 1);
+		return c;
+	}
+	void turns(int n, int ms)
+	{
+		for (int i = 0; i < n; i++)
+			turn(ms);
+	}
+	/* The requests that the server of the first node runs. */
+	std::string running()
+	{
+		std::string all;
+
+		for (auto &r : nodes[0]->runs)
+			all += r.id + " ";
+		return all;
+	}
+	void answer_first()
+	{
+		answer(nodes[0].get(), 0);
+		turns(20, 1);
+	}
+	/* The server announces that it takes no more requests. */
+	void leave_server()
+	{
+		nodes[0]->state = "draining";
+		announce(nodes[0].get());
+		turns(20, 1);
+	}
+};
+
+/* Guards against a call that is used after its end: its deadline cancels its
+ * execution, the slot goes to another one, which is its parent by its id, cannot
+ * run any more, and ends its nested calls. */
+TEST(ConnectionEnds, ACallMayEndWhileItsAttemptIsCancelled)
+{
+	fp_log_setup(FP_LOG_ERROR, STDERR_FILENO);
+	seed_product(1);
+	Chosen w;
+
+	w.send_get(0, "x", 3000);
+	EXPECT_EQ("x ", w.running());
+	w.send_get(1, "p", 3000);
+	ends::Client *c = w.send_get(0, "p.1", 600);
+	w.answer_first();
+	EXPECT_EQ("p.1 ", w.running());
+	w.leave_server();
+	w.turns(100, 10);
+	EXPECT_TRUE(c->ids.empty());
+	w.finish();
+	w.expect_nothing_left();
+}
+
 } // namespace
