A request runs with its whole method or not at all

Cause: on_access() cut the method to an array of 16 bytes; the check of its length saw the cut one.

Change: the server passes on the method as it came. Messages hold 63 characters; a longer method is refused with 400 before a run. fp_text_copy() replaces the copies of texts of requests that could cut: method, target, service and organisation of a call and of POST /where, the instance of an announcement.

--- a/Makefile
+++ b/Makefile
@@ -120,7 +120,7 @@
 	http_client http_server http_pipeline byte_account directory \
 	directory_relay platform id_index run_times cold_rate worker_model \
 	owner_rank pool rate_share body_parts msg_body balancer_retry types \
-	balancer_explain registry_http drain_limit loop connection_ends
+	balancer_explain registry_http drain_limit loop connection_ends method
 
 asan-build:
 	$(MAKE) VARIANT=asan $(ASAN_UNIT:%=build-asan/test/test_%)
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -21,6 +21,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "base/text.h"
 
 /* How long after the deadline the entry node waits for the reply of the exit
  * node, which reports whether the call ran. */
@@ -72,8 +73,10 @@
 	c->t = t;
 	c->x = x;
 	c->started_us = fp_loop_now_us(t->loop);
-	strncpy(c->msg.method, r->method, sizeof(c->msg.method) - 1);
-	strncpy(c->msg.uri, r->uri, sizeof(c->msg.uri) - 1);
+	/* intake_find_route() has refused longer ones. */
+	if (!fp_text_copy(c->msg.method, sizeof(c->msg.method), r->method) ||
+	    !fp_text_copy(c->msg.uri, sizeof(c->msg.uri), r->uri))
+		abort();
 	copy_headers(c, r);
 	c->msg.content.body = body;
 	c->msg.content.body_bytes = r->body_bytes;
@@ -126,9 +129,10 @@
 void call_set_route(struct call *c, const struct fp_route *r)
 {
 	memcpy(c->msg.route, r->name, sizeof(c->msg.route));
-	strncpy(c->msg.service,
-		fp_config_route_service(c->t->config, r, traffic_random()),
-		sizeof(c->msg.service) - 1);
+	if (!fp_text_copy(
+		    c->msg.service, sizeof(c->msg.service),
+		    fp_config_route_service(c->t->config, r, traffic_random())))
+		abort(); /* the names of a configuration fit */
 	c->msg.non_idempotent = !r->idempotent;
 	c->without_claim = r->without_claim;
 	c->target_us = r->latency_target_ms * FP_US_PER_MS;
--- a/src/node/call_intake.c
+++ b/src/node/call_intake.c
@@ -14,6 +14,7 @@
 #include <xxhash.h>
 
 #include "base/log.h"
+#include "base/text.h"
 #include "node/call.h"
 #include "node/path.h"
 
@@ -110,7 +111,8 @@
 		return FP_REASON_KEY_UNKNOWN;
 	o = &c->t->config->orgs[org];
 	c->org_index = org;
-	snprintf(c->msg.org, sizeof(c->msg.org), "%s", o->name);
+	if (!fp_text_copy(c->msg.org, sizeof(c->msg.org), o->name))
+		abort(); /* the names of a configuration fit */
 	c->msg.org_weight = o->rate_per_s;
 	if (o->has_class)
 		c->msg.cls = o->cls;
@@ -238,9 +240,10 @@
 {
 	if (!t->config)
 		return FP_REASON_NO_CONFIG;
-	if (strlen(uri) >= FP_URI_BYTES || strlen(method) >= FP_METHOD_BYTES)
+	if (strlen(uri) >= FP_URI_BYTES)
 		return FP_REASON_TOO_LARGE;
-	if (!fp_path_is_normalized(uri, t->config->byte_prefixes))
+	if (strlen(method) >= FP_METHOD_BYTES ||
+	    !fp_path_is_normalized(uri, t->config->byte_prefixes))
 		return FP_REASON_MALFORMED;
 	*route = fp_config_find_route(t->config, host, method, uri);
 	return *route ? FP_REASON_NONE : FP_REASON_ROUTE_UNKNOWN;
--- a/src/node/where.c
+++ b/src/node/where.c
@@ -22,6 +22,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "node/call.h"
 #include "state/balancer_explain.h"
 
@@ -262,9 +263,9 @@
 	case FP_REASON_NO_CONFIG:
 		return "this node has no configuration yet";
 	case FP_REASON_TOO_LARGE:
-		return "the path or the method is too long";
+		return "the path is too long";
 	case FP_REASON_MALFORMED:
-		return "the path is not normalized";
+		return "the path is not normalized, or the method is too long";
 	default:
 		return "no route has this host, method and path";
 	}
@@ -284,11 +285,14 @@
 		       route_text(why));
 		return;
 	}
-	snprintf(c->msg.method, sizeof(c->msg.method), "%s", q->method);
-	snprintf(c->msg.uri, sizeof(c->msg.uri), "%s", q->path);
 	call_set_route(c, route);
-	snprintf(c->msg.service, sizeof(c->msg.service), "%s",
-		 fp_config_route_service(q->t->config, route, q->draw));
+	/* intake_find_route() has refused longer ones. */
+	if (!fp_text_copy(c->msg.method, sizeof(c->msg.method), q->method) ||
+	    !fp_text_copy(c->msg.uri, sizeof(c->msg.uri), q->path) ||
+	    !fp_text_copy(
+		    c->msg.service, sizeof(c->msg.service),
+		    fp_config_route_service(q->t->config, route, q->draw)))
+		abort();
 	memcpy(q->service, c->msg.service, sizeof(q->service));
 	c->msg.cls = route->cls;
 	c->org_index = UINT32_MAX;
--- a/src/protocol/dialect.c
+++ b/src/protocol/dialect.c
@@ -4,6 +4,8 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "base/text.h"
+
 static enum fp_status read_fields(json_t *j, struct fp_announcement *out)
 {
 	const char *instance =
@@ -12,7 +14,8 @@
 	json_int_t port = json_integer_value(json_object_get(j, "port"));
 	json_int_t slots = json_integer_value(json_object_get(j, "slots"));
 
-	if (!instance || strlen(instance) >= sizeof(out->instance))
+	if (!instance ||
+	    !fp_text_copy(out->instance, sizeof(out->instance), instance))
 		return fp_fail(FP_INVALID, "announcement: instance is missing "
 					   "or too long");
 	if (!state ||
@@ -26,7 +29,6 @@
 	out->port = (uint16_t)port;
 	out->slots = (uint32_t)slots;
 	out->serving = strcmp(state, "serving") == 0;
-	strncpy(out->instance, instance, sizeof(out->instance) - 1);
 	return FP_OK;
 }
 
--- a/src/protocol/msg_call.h
+++ b/src/protocol/msg_call.h
@@ -27,7 +27,7 @@
 /** Maximum number of headers in a message. */
 #define FP_MAX_CALL_HEADERS 64
 /** Longest method and request target, bytes with NUL. */
-#define FP_METHOD_BYTES 16
+#define FP_METHOD_BYTES 64
 #define FP_URI_BYTES	8192
 /** Maximum nesting depth of calls. */
 #define FP_MAX_DEPTH 32
--- a/src/transport/http_intake.c
+++ b/src/transport/http_intake.c
@@ -449,6 +449,6 @@
 		return now_us - x->refused_us > LINGER_US;
 	if (x->state != READING || now_us - x->begun_us < CHECK_US)
 		return false;
-	return (!x->method[0] && now_us - x->begun_us > HEAD_US) ||
+	return (!x->method && now_us - x->begun_us > HEAD_US) ||
 	       intake_client_left(x);
 }
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -130,6 +130,7 @@
 		MHD_destroy_response(x->response);
 	intake_free_body(x);
 	free(x->uri);
+	free(x->method);
 	free(x->text);
 	free(x);
 }
@@ -290,8 +291,10 @@
 		return MHD_NO;
 	if (x->state == LINGERING)
 		return intake_discard(x, data_bytes);
-	if (!x->method[0]) {
-		snprintf(x->method, sizeof(x->method), "%s", method);
+	if (!x->method) {
+		x->method = strdup(method);
+		if (!x->method)
+			return MHD_NO;
 		/* See http_framing_is_ambiguous(). */
 		if (http_framing_is_ambiguous(conn))
 			return refuse_and_close(x);
--- a/test/ends_sim.h
+++ b/test/ends_sim.h
@@ -172,6 +172,7 @@
 /* A request that a server runs. */
 struct Run {
 	std::string id;
+	std::string line; /* of the request */
 	std::shared_ptr<Stream> stream;
 	int n_calls = 0; /* times that it made nested calls */
 };
@@ -521,6 +522,7 @@
 				Run r;
 
 				r.id = m.fields["Fulmarpass-Request-Id"];
+				r.line = m.start;
 				r.stream = s;
 				n->runs.push_back(r);
 				if (m.start.find("/unsafe/") != m.start.npos) {
--- a/test/test_http_server.cc
+++ b/test/test_http_server.cc
@@ -41,6 +41,7 @@
 			       const struct fp_http_request *r) {
 			auto *t = static_cast<HttpServer *>(ctx);
 
+			t->methods.push_back(r->method);
 			t->uris.push_back(r->uri);
 			t->bodies.emplace_back((const char *)r->body,
 					       r->body_bytes);
@@ -141,6 +142,7 @@
 	struct fp_byte_account *account = nullptr;
 	struct fp_loop *loop = nullptr;
 	struct fp_http_server *server = nullptr;
+	std::vector<std::string> methods;
 	std::vector<std::string> uris;
 	std::vector<std::string> bodies;
 };
@@ -159,6 +161,22 @@
 	EXPECT_EQ((std::vector<std::string>{ "abc", "de" }), bodies);
 }
 
+/* Guards against a request that runs with another method, the beginning of its
+ * own. */
+TEST_F(HttpServer, PassesOnWholeMethods)
+{
+	const std::vector<std::string> sent = { "BASELINE-CONTROL",
+						"UPDATEREDIRECTREF",
+						std::string(200, 'M') };
+	bool closed;
+
+	for (const auto &method : sent)
+		exchange(method + " /m HTTP/1.1\r\nHost: h\r\n"
+				  "Connection: close\r\n\r\n",
+			 &closed);
+	EXPECT_EQ(sent, methods);
+}
+
 TEST_F(HttpServer, RefusesAmbiguousBodyLength)
 {
 	const std::string inner = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
