A server that ends closes what it has not handed over

Seen in a test only: a descriptor stays open if a server ends between the end of its connection's pipelined requests and the turn in which the HTTP library takes it over.

Change: http_pipeline_end() closes it. fp_loop_cancel() is called fp_loop_cancel_deferred(), as it does not concern timers.

Evidence: HttpPipeline.AServerThatEndsClosesWhatItHasNotHandedOver fails without the change and passes with it; test_loop and test_connection_ends (62 worlds) pass, address sanitizer.

--- a/src/transport/http_pipeline.c
+++ b/src/transport/http_pipeline.c
@@ -82,7 +82,7 @@
 	uint32_t address;
 	struct fp_watch *watch;
 	struct fp_timer retry;
-	struct fp_deferred end;
+	struct fp_deferred end; /* report of its end */
 	struct http_pipelined *first;
 	struct http_pipelined *last;
 	uint32_t n_requests;
@@ -284,7 +284,7 @@
 
 static void connection_free(struct connection *c)
 {
-	fp_loop_cancel(c->p->loop, &c->end);
+	fp_loop_cancel_deferred(c->p->loop, &c->end);
 	connection_unlink(c);
 	while (c->first)
 		drop_first(c);
@@ -821,7 +821,10 @@
 		c->gone = true;
 		connection_end(c);
 	}
-	while (p->ended)
-		connection_free(p->ended);
+	while ((c = p->ended)) {
+		if (!c->gone) /* its descriptor was not handed over */
+			close(c->fd);
+		connection_free(c);
+	}
 	free(p);
 }
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -121,7 +121,7 @@
 {
 	struct fp_http_server *s = x->server;
 
-	fp_loop_cancel(s->loop, &x->left);
+	fp_loop_cancel_deferred(s->loop, &x->left);
 	*x->pprev = x->next;
 	if (x->next)
 		x->next->pprev = x->pprev;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -46,8 +46,8 @@
 	 */
 	void (*client_left)(void *ctx, struct fp_http_exchange *x);
 	/** The server itself refused a request: HTTP status 400, 408, 413, 431 or
-	 *  503. May be called within any function of the transport, so it must
-	 *  only count. */
+	 *  503. May be called within any function of the transport, so it may
+	 *  only count and log. */
 	void (*refused)(void *ctx, int http_status);
 	void *ctx;
 };
--- a/src/transport/loop.c
+++ b/src/transport/loop.c
@@ -275,7 +275,7 @@
 	l->deferred_tail = &d->next;
 }
 
-void fp_loop_cancel(struct fp_loop *l, struct fp_deferred *d)
+void fp_loop_cancel_deferred(struct fp_loop *l, struct fp_deferred *d)
 {
 	if (!d->pprev)
 		return;
@@ -293,7 +293,7 @@
 	struct fp_deferred *d;
 
 	while ((d = l->deferred)) {
-		fp_loop_cancel(l, d);
+		fp_loop_cancel_deferred(l, d);
 		d->fn(d->ctx);
 	}
 }
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -17,7 +17,7 @@
  *
  * So a handler may end any connection and any call, its own too, and each function
  * may rely on its own objects until it returns. The one exception is a callback
- * that only counts; its documentation says so.
+ * that only counts and logs; its documentation says so.
  */
 #ifndef FP_TRANSPORT_LOOP_H
 #define FP_TRANSPORT_LOOP_H
@@ -92,7 +92,7 @@
 		   void *ctx);
 /** Cancels deferred work, which must be done before its memory is freed; has no
  *  effect if it is not due. */
-void fp_loop_cancel(struct fp_loop *l, struct fp_deferred *d);
+void fp_loop_cancel_deferred(struct fp_loop *l, struct fp_deferred *d);
 
 /** Registers fn to be called at the end of each iteration, before the loop
  *  waits. */
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -147,7 +147,7 @@
 
 	if (l->down_reported)
 		return;
-	fp_loop_cancel(l->net->loop, &l->down);
+	fp_loop_cancel_deferred(l->net->loop, &l->down);
 	l->down_reported = true;
 	if (h->down)
 		h->down(h->ctx, l, l->was_up);
@@ -176,7 +176,7 @@
 
 static void link_free(struct fp_peer_link *l)
 {
-	fp_loop_cancel(l->net->loop, &l->down);
+	fp_loop_cancel_deferred(l->net->loop, &l->down);
 	fp_buffer_free(&l->in);
 	fp_buffer_free(&l->out);
 	fp_buffer_free(&l->queued);
--- a/test/test_http_pipeline.cc
+++ b/test/test_http_pipeline.cc
@@ -407,6 +407,22 @@
 	EXPECT_EQ(0u, fp_http_server_open_exchanges(server));
 }
 
+/* A connection that passes to the library just when the server ends is closed. */
+TEST_F(HttpPipeline, AServerThatEndsClosesWhatItHasNotHandedOver)
+{
+	char buf[1000];
+	ssize_t bytes;
+
+	send_text(get("/1") + post_of_none);
+	answer("/1");
+	fp_http_server_end(server);
+	server = nullptr;
+	while ((bytes = read(fd, buf, sizeof(buf))) > 0)
+		got.append(buf, (size_t)bytes);
+	/* Closed, with the unread request; EAGAIN: it is still open. */
+	EXPECT_TRUE(bytes == 0 || errno == ECONNRESET) << errno;
+}
+
 /* Guards against a sweep over exchanges that goes on behind one which was freed:
  * a client of the library leaves, and the handler answers another request. */
 TEST_F(HttpPipeline, AClientOfTheLibraryThatLeavesMayEndOtherExchanges)
--- a/test/test_loop.cc
+++ b/test/test_loop.cc
@@ -76,9 +76,9 @@
 	defer(&a);
 	defer(&b);
 	defer(&c);
-	fp_loop_cancel(loop, &c.deferred);
-	fp_loop_cancel(loop, &a.deferred);
-	fp_loop_cancel(loop, &a.deferred);
+	fp_loop_cancel_deferred(loop, &c.deferred);
+	fp_loop_cancel_deferred(loop, &a.deferred);
+	fp_loop_cancel_deferred(loop, &a.deferred);
 	fp_loop_run_once(loop, 0);
 	EXPECT_EQ("b", ran);
 	defer(&c);
