The end of a pipeline walks its list as the linter can follow it

Cause: clang-analyzer does not see that connection_free() takes a connection out of the list, and reports a use after free in a loop over its head.

Change: the loop holds the next connection, as the one before it; connection_free() calls nobody.

Measured: clang-tidy and cppcheck are clean; the cases of test_http_pipeline on ends pass, address sanitizer.

--- a/src/transport/http_pipeline.c
+++ b/src/transport/http_pipeline.c
@@ -821,7 +821,8 @@
 		c->gone = true;
 		connection_end(c);
 	}
-	while ((c = p->ended)) {
+	for (c = p->ended; c; c = next) {
+		next = c->next;
 		if (!c->gone) /* its descriptor was not handed over */
 			close(c->fd);
 		connection_free(c);
