--- a/test/test_connection_ends.cc
+++ b/test/test_connection_ends.cc
@@ -75,7 +75,7 @@
 		return { one };
 	for (uint64_t seed = first; seed < first + n; seed++)
 		all.push_back(seed);
-	/* Seeds beyond 60 that have found a fault; 13 and 44 have, too. */
+	/* Found a fault, as 13 and 44 did. */
 	all.push_back(182);
 	return all;
 }
