Heads that are read ahead, and cancellation, in files of their own

The decision which heads may be read ahead needs no connection, and the order in which a call and its attempt end was told in three functions of call.c.

Change: http_head.[ch] and call_cancel.c; what they do stays. The cases of heads are a program of their own, test_http_head, and fp_text_copy() has a case without a network. Names of tests that needed a second reading are plainer.

--- a/Makefile
+++ b/Makefile
@@ -117,7 +117,7 @@
 # the others take too long.
 ASAN_UNIT := msg_call msg_shared peer admission balancer early_shed attempts \
 	poison claims settings config declarations slo reach base load_view \
-	http_client http_server http_pipeline byte_account directory \
+	http_client http_server http_head http_pipeline byte_account directory \
 	directory_relay platform id_index run_times cold_rate worker_model \
 	owner_rank pool rate_share body_parts msg_body balancer_retry types \
 	balancer_explain registry_http drain_limit loop connection_ends method
--- a/src/node/call.c
+++ b/src/node/call.c
@@ -269,41 +269,6 @@
 
 /* --- attempts --- */
 
-/* What is needed to cancel an attempt when its call no longer exists. */
-struct attempt {
-	struct fp_peer_link *link; /* NULL: at the worker of this node */
-	uint64_t corr; /* 0: there is nothing to cancel */
-};
-
-static struct attempt attempt_of(const struct call *c)
-{
-	struct attempt a = { .link = c->link, .corr = c->corr };
-
-	/* A non-idempotent execution is never interrupted. */
-	if (c->awaits_link || c->msg.non_idempotent)
-		a.corr = 0;
-	return a;
-}
-
-/* Cancels an attempt whose call has ended or gone on. The end of its execution
- * lets admission decide about others, and so may end any call: no call may be in
- * use here. */
-static void cancel_attempt(struct fp_traffic *t, const struct attempt *a)
-{
-	msgpack_sbuffer buf;
-
-	if (!a->corr)
-		return;
-	if (!a->link) {
-		execution_cancel(t, NULL, a->corr);
-		return;
-	}
-	msgpack_sbuffer_init(&buf);
-	fp_msg_cancel_encode(a->corr, &buf);
-	fp_peer_send(a->link, buf.data, buf.size);
-	msgpack_sbuffer_destroy(&buf);
-}
-
 /* Whether the attempt in flight cannot run: the link to its exit node is not up
  * yet, or parts of its body were not sent. */
 static bool is_unsent(const struct call *c)
@@ -315,7 +280,7 @@
 {
 	struct call *c = ctx;
 	struct fp_traffic *t = c->t;
-	struct attempt a = attempt_of(c);
+	struct call_attempt a = call_attempt_of(c);
 	enum fp_outcome outcome = c->corr && !is_unsent(c) ?
 					  FP_OUTCOME_UNKNOWN :
 					  FP_OUTCOME_NOT_RUN;
@@ -329,7 +294,7 @@
 				 now_us - c->started_us, now_us);
 	}
 	call_refuse(c, outcome, FP_REASON_DEADLINE, 0);
-	cancel_attempt(t, &a);
+	call_cancel_attempt(t, &a);
 }
 
 static bool may_retry_unknown(const struct call *c)
@@ -451,7 +416,7 @@
 {
 	struct call *c = ctx;
 	struct fp_traffic *t = c->t;
-	struct attempt a = attempt_of(c);
+	struct call_attempt a = call_attempt_of(c);
 	int64_t now_us = fp_loop_now_us(t->loop);
 
 	if (!may_retry_unknown(c))
@@ -459,7 +424,7 @@
 	fp_balancer_call_ended(t->balancer, c->worker, FP_BALANCER_FAILED,
 			       now_us - c->sent_us, NULL, now_us);
 	attempt_lost(c, true);
-	cancel_attempt(t, &a);
+	call_cancel_attempt(t, &a);
 }
 
 /*
@@ -752,61 +717,3 @@
 		attempt_lost(c, was_up);
 	}
 }
-
-/* --- cancellation by the caller or the parent --- */
-
-void call_client_left(struct fp_traffic *t, struct fp_http_exchange *x)
-{
-	struct call *c = fp_http_exchange_get(x);
-	struct attempt a;
-
-	if (!c)
-		return;
-	c->caller_left = true;
-	/* The call continues, since its outcome must be recorded in its claim;
-	 * the answer is dropped. */
-	if (c->msg.non_idempotent)
-		return;
-	if (c->corr)
-		fp_balancer_call_ended(t->balancer, c->worker,
-				       FP_BALANCER_CANCELLED, 0, NULL,
-				       fp_loop_now_us(t->loop));
-	a = attempt_of(c);
-	call_refuse(c, FP_OUTCOME_UNKNOWN, FP_REASON_CUT, 0);
-	cancel_attempt(t, &a);
-}
-
-/* Returns a nested call of the parent that must still be cancelled, or NULL. */
-static struct call *next_of_parent(struct fp_traffic *t,
-				   const uint8_t call_id[FP_CALL_ID_BYTES])
-{
-	struct call *c;
-
-	for (c = t->open_calls; c; c = c->next)
-		if (c->msg.nested && !c->msg.non_idempotent &&
-		    !c->caller_left &&
-		    memcmp(c->parent_id, call_id, FP_CALL_ID_BYTES) == 0)
-			return c;
-	return NULL;
-}
-
-void call_parent_ended(struct fp_traffic *t,
-		       const uint8_t call_id[FP_CALL_ID_BYTES])
-{
-	struct call *c;
-
-	while ((c = next_of_parent(t, call_id)))
-		call_client_left(t, c->x);
-}
-
-void call_parent_changed(struct fp_traffic *t,
-			 const uint8_t from[FP_CALL_ID_BYTES],
-			 const uint8_t to[FP_CALL_ID_BYTES])
-{
-	struct call *c;
-
-	for (c = t->open_calls; c; c = c->next)
-		if (c->msg.nested &&
-		    memcmp(c->parent_id, from, FP_CALL_ID_BYTES) == 0)
-			memcpy(c->parent_id, to, FP_CALL_ID_BYTES);
-}
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -91,6 +91,23 @@
  *  stored one to an earlier arrival of its request. Frees the call. */
 void call_answer(struct call *c, const struct fp_msg_reply *r);
 
+/* --- call_cancel.c: ends before the answer --- */
+
+/** What is needed to cancel an attempt when its call no longer exists. */
+struct call_attempt {
+	struct fp_peer_link *link; /**< NULL: at the worker of this node */
+	uint64_t corr; /**< 0: there is nothing to cancel */
+};
+
+/** Returns the attempt in flight, as far as it may be cancelled: a non-idempotent
+ *  execution is never interrupted. */
+struct call_attempt call_attempt_of(const struct call *c);
+/** Cancels an attempt whose call has ended or gone on. May end any call: none may
+ *  be in use. */
+void call_cancel_attempt(struct fp_traffic *t, const struct call_attempt *a);
+
+/* --- call.c: attempts --- */
+
 /** Sends a call to a worker; it may be freed when this returns. */
 void call_send(struct call *c);
 
--- a/src/node/traffic_private.h
+++ b/src/node/traffic_private.h
@@ -203,7 +203,7 @@
 /** Returns whether a header is forwarded, in either direction. */
 bool answer_forwards_header(const struct fp_traffic *t, const char *name);
 
-/* --- call.c, call_intake.c: calls that this node sends to workers --- */
+/* --- call*.c: calls that this node sends to workers --- */
 
 /** Handles a request from a caller. Its API key is checked here and not
  *  forwarded. */
--- a/src/transport/http_pipeline.h
+++ b/src/transport/http_pipeline.h
@@ -4,26 +4,16 @@
 #define FP_TRANSPORT_HTTP_PIPELINE_H
 
 #include "transport/byte_account.h"
-#include "transport/http_server.h"
+#include "transport/http_head.h"
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-/** Maximum number of header fields of a request that is read here. */
-#define HTTP_PIPELINE_MAX_HEADERS 64
-
 struct http_pipeline;
 /** The place of one request in the order of its connection. */
 struct http_pipelined;
 
-/** A request head, parsed in place. */
-struct http_head {
-	const char *uri;
-	struct fp_http_header headers[HTTP_PIPELINE_MAX_HEADERS];
-	uint32_t n_headers;
-};
-
 /** Callbacks from the loop, see loop.h; may_accept and close_idle answer from
  *  counts and call nothing above. */
 struct http_pipeline_handler {
@@ -46,16 +36,6 @@
 	void *ctx;
 };
 
-/**
- * Parses one request without a body.
- *
- * Only a GET request in the strict form of RFC 9112 whose head cannot be read
- * in two ways is accepted; on success its texts are terminated in place.
- *
- * @return bytes of the head; 0: it is incomplete; -1: it is not for this reader
- */
-int32_t http_head_parse(char *text, size_t bytes, struct http_head *out);
-
 /**
  * Accepts connections of a listening descriptor, which the caller owns.
  *
--- a/test/ends_sim.h
+++ b/test/ends_sim.h
@@ -748,7 +748,7 @@
 			fp_peer_link_to(nodes[i]->t->peers, addr.c_str());
 
 		if (l)
-			fp_peer_drop(l, "drawn");
+			fp_peer_drop(l, "test");
 	}
 	void draw_rare()
 	{
--- a/test/test_base.cc
+++ b/test/test_base.cc
@@ -1,4 +1,4 @@
-/* test_base.cc - status, clock, log levels and counters */
+/* test_base.cc - status, texts, clock, log levels and counters */
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -9,6 +9,7 @@
 #include "base/counters.h"
 #include "base/log.h"
 #include "base/status.h"
+#include "base/text.h"
 
 TEST(Status, KeepsLastMessage)
 {
@@ -18,6 +19,19 @@
 	EXPECT_STREQ("unknown", fp_status_name((enum fp_status)99));
 }
 
+TEST(Text, IsCopiedWholeOrNotAtAll)
+{
+	char to[4] = "old";
+
+	EXPECT_TRUE(fp_text_copy(to, sizeof(to), "abc"));
+	EXPECT_STREQ("abc", to);
+	EXPECT_FALSE(fp_text_copy(to, sizeof(to), "abcd"));
+	EXPECT_STREQ("", to);
+	EXPECT_TRUE(fp_text_copy(to, sizeof(to), ""));
+	EXPECT_STREQ("", to);
+	EXPECT_FALSE(fp_text_copy(to, 1, "a"));
+}
+
 TEST(Clock, ManualAdvancesOnlyExplicitly)
 {
 	struct fp_manual_clock m;
--- a/test/test_connection_ends.cc
+++ b/test/test_connection_ends.cc
@@ -94,11 +94,11 @@
 	}
 }
 
-/* Servers with one slot, and requests that a test chooses. */
-class Chosen : public ends::World
+/* Servers with one slot; the test says what happens. */
+class ScriptedWorld : public ends::World
 {
       public:
-	Chosen() : World(1, getpid(), 1)
+	ScriptedWorld() : World(1, getpid(), 1)
 	{
 	}
 	ends::Client *send_get(size_t node, const char *id, int deadline_ms)
@@ -149,7 +149,7 @@
 {
 	fp_log_setup(FP_LOG_ERROR, STDERR_FILENO);
 	seed_product(1);
-	Chosen w;
+	ScriptedWorld w;
 
 	w.send_get(0, "x", 3000);
 	EXPECT_EQ("x ", w.running());
