--- a/src/node/call.c
+++ b/src/node/call.c
@@ -276,7 +276,7 @@
 	return c->awaits_link || parts_unsent(c->t, c->corr);
 }
 
-static void on_deadline(void *ctx)
+void call_on_deadline(void *ctx)
 {
 	struct call *c = ctx;
 	struct fp_traffic *t = c->t;
@@ -390,9 +390,8 @@
 	call_send(c);
 }
 
-/* Handles the loss of the exit node of an attempt; sent: the link to it had been
- * established. Without its whole body a call does not run. */
-static void attempt_lost(struct call *c, bool sent)
+/* Without its whole body a call does not run. */
+void call_attempt_lost(struct call *c, bool sent)
 {
 	bool ran = sent && !is_unsent(c);
 
@@ -409,7 +408,7 @@
 		return;
 	fp_balancer_call_ended(t->balancer, c->worker, FP_BALANCER_FAILED,
 			       now_us - c->sent_us, NULL, now_us);
-	attempt_lost(c, true);
+	call_attempt_lost(c, true);
 }
 
 static void on_attempt_timeout(void *ctx)
@@ -423,7 +422,7 @@
 		return;
 	fp_balancer_call_ended(t->balancer, c->worker, FP_BALANCER_FAILED,
 			       now_us - c->sent_us, NULL, now_us);
-	attempt_lost(c, true);
+	call_attempt_lost(c, true);
 	call_cancel_attempt(t, &a);
 }
 
@@ -488,7 +487,7 @@
 		return;
 	}
 	fp_timer_set(c->t->loop, &c->deadline_timer,
-		     c->deadline_us + REPLY_GRACE_US, on_deadline, c);
+		     c->deadline_us + REPLY_GRACE_US, call_on_deadline, c);
 	if (!c->claim_undecided) {
 		call_after_claim(c);
 		return;
@@ -545,8 +544,7 @@
 		     on_link_wait_over, c);
 }
 
-/* Handles an attempt that could not be sent; st: the result of sending it. */
-static void check_sent(struct call *c, enum fp_status st)
+void call_check_sent(struct call *c, enum fp_status st)
 {
 	int64_t now_us;
 
@@ -597,41 +595,7 @@
 	c->first_counted = true;
 	arm_attempt_timer(c, now_us);
 	fp_balancer_call_sent(t->balancer, m->id);
-	check_sent(c, call_transmit(c, m));
-}
-
-/* Returns a call that waits for a link to the node at the other end of this
- * one, or NULL. That node may have opened the link. */
-static struct call *next_awaiting(struct fp_traffic *t,
-				  const struct fp_peer_link *link)
-{
-	const char *addr = fp_peer_identity(link)->addr;
-	const struct fp_member *m;
-	struct call *c;
-
-	for (c = t->open_calls; c; c = c->next) {
-		if (!c->awaits_link)
-			continue;
-		m = traffic_member(t, c->worker);
-		if (c->link == link || (m && strcmp(m->peer_addr, addr) == 0))
-			return c;
-	}
-	return NULL;
-}
-
-void call_link_up(struct fp_traffic *t, struct fp_peer_link *link)
-{
-	struct call *c;
-
-	while ((c = next_awaiting(t, link))) {
-		if (c->deadline_us <= fp_loop_now_us(t->loop)) {
-			on_deadline(c);
-			continue;
-		}
-		c->awaits_link = false;
-		c->link = link;
-		check_sent(c, call_transmit_on_link(c));
-	}
+	call_check_sent(c, call_transmit(c, m));
 }
 
 /* --- replies --- */
@@ -691,29 +655,3 @@
 	}
 	attempt_ended(c, r->outcome, r->reason, r->run_us > 0);
 }
-
-/* Returns a call that has an attempt in flight on the link, or NULL. */
-static struct call *next_on_link(struct fp_traffic *t,
-				 const struct fp_peer_link *link)
-{
-	struct call *c;
-
-	for (c = t->open_calls; c; c = c->next)
-		if (c->corr && c->link == link)
-			return c;
-	return NULL;
-}
-
-void call_link_down(struct fp_traffic *t, struct fp_peer_link *link,
-		    bool was_up)
-{
-	int64_t now_us = fp_loop_now_us(t->loop);
-	struct call *c;
-
-	while ((c = next_on_link(t, link))) {
-		fp_balancer_call_ended(t->balancer, c->worker,
-				       FP_BALANCER_FAILED, now_us - c->sent_us,
-				       NULL, now_us);
-		attempt_lost(c, was_up);
-	}
-}
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -110,6 +110,14 @@
 
 /** Sends a call to a worker; it may be freed when this returns. */
 void call_send(struct call *c);
+/** Handles the result of sending an attempt; the call may be freed when this
+ *  returns, and if st is FP_OK, already before. */
+void call_check_sent(struct call *c, enum fp_status st);
+/** Handles the loss of the exit node of an attempt; sent: the link to it had been
+ *  established. The call may be freed when this returns. */
+void call_attempt_lost(struct call *c, bool sent);
+/** Ends a call whose deadline has passed; the timer's callback. */
+void call_on_deadline(void *ctx);
 
 /** Retry-After of refusals when no better value is known, microseconds. */
 #define FP_RETRY_AFTER_DEFAULT_US FP_US_PER_S
--- a/src/transport/peer.c
+++ b/src/transport/peer.c
@@ -39,8 +39,7 @@
 #include <unistd.h>
 
 #include "base/log.h"
-#include "transport/buffer.h"
-#include "transport/peer_crypto.h"
+#include "transport/peer_private.h"
 
 #define HEARTBEAT_US	 (400 * FP_US_PER_MS)
 #define SILENCE_US	 (1500 * FP_US_PER_MS)
@@ -50,76 +49,12 @@
 #define LENGTH_BYTES	 4
 #define MAX_QUEUED_BYTES (8u << 20)
 /* Beyond this many queued bytes, what can wait does. */
-#define ROOM_BYTES	    (128u << 10)
-#define READ_BYTES	    65536
-#define MAX_LINKS	    4096
-#define HELLO_BYTES	    (1 + FP_NONCE_BYTES + 8 + FP_PEER_ADDR_BYTES)
-#define HEADER_BYTES	    crypto_secretstream_xchacha20poly1305_HEADERBYTES
-#define SEAL_BYTES	    crypto_secretstream_xchacha20poly1305_ABYTES
-#define ACCEPT_BYTES	    (HELLO_BYTES + FP_PROOF_BYTES + HEADER_BYTES)
-#define FINISH_BYTES	    (1 + FP_PROOF_BYTES + HEADER_BYTES)
-#define MAX_HANDSHAKE_BYTES ACCEPT_BYTES
-#define TAG_DATA	    0
-#define TAG_HEARTBEAT	    1
-
-enum handshake_type { HELLO = 1, ACCEPT = 2, FINISH = 3 };
-
-enum link_state {
-	CONNECTING, /* TCP connection not established yet */
-	WAIT_HELLO, /* accepted */
-	WAIT_ACCEPT, /* dialed, HELLO sent */
-	WAIT_FINISH, /* ACCEPT sent */
-	UP,
-	CLOSED, /* freed at the next tick after it was reported as down */
-};
-
-struct fp_peer_link {
-	struct fp_peer_net *net;
-	enum link_state state;
-	bool dialed;
-	bool was_up;
-	int fd;
-	struct fp_watch *watch;
-	struct fp_deferred down; /* report that it is CLOSED */
-	bool down_reported;
-	struct fp_peer_identity peer; /* if dialed, addr is set at once */
-	struct fp_transcript transcript;
-	uint8_t secret[FP_PEER_SECRET_BYTES]; /* the one that verified */
-	crypto_secretstream_xchacha20poly1305_state seal; /* sent frames */
-	crypto_secretstream_xchacha20poly1305_state open; /* received frames */
-	struct fp_buffer in;
-	struct fp_buffer out; /* sealed frames, or handshake */
-	struct fp_buffer queued; /* plain frames with lengths, until UP */
-	int64_t opened_us; /* time of creation */
-	int64_t received_us; /* time of the last received bytes */
-	int64_t sent_us; /* time of the last sent frame */
-	int64_t used_us; /* time of the last data frame in either direction */
-	struct fp_peer_link *next;
-};
-
-struct fp_peer_net {
-	struct fp_loop *loop;
-	struct fp_peer_handler handler;
-	uint64_t id;
-	char addr[FP_PEER_ADDR_BYTES];
-	uint8_t secrets[FP_PEER_MAX_SECRETS][FP_PEER_SECRET_BYTES];
-	uint32_t n_secrets;
-	uint32_t max_frame_bytes;
-	int listen_fd;
-	struct fp_watch *listen_watch;
-	struct fp_timer tick;
-	struct fp_peer_link *links;
-	uint32_t n_links;
-	uint8_t *scratch; /* buffer for one decrypted frame */
-	struct fp_counter *frames_in;
-	struct fp_counter *frames_out;
-	struct fp_counter *bytes_in;
-	struct fp_counter *bytes_out;
-	struct fp_counter *links_up;
-	struct fp_counter *bad_frames;
-	struct fp_counter *bad_proofs;
-	struct fp_counter *silent_links;
-};
+#define ROOM_BYTES    (128u << 10)
+#define READ_BYTES    65536
+#define MAX_LINKS     4096
+#define SEAL_BYTES    crypto_secretstream_xchacha20poly1305_ABYTES
+#define TAG_DATA      0
+#define TAG_HEARTBEAT 1
 
 /* --- buffers --- */
 
@@ -224,7 +159,7 @@
 	watch_for_write(l);
 }
 
-static void send_plain(struct fp_peer_link *l, const void *data, size_t bytes)
+void peer_send_plain(struct fp_peer_link *l, const void *data, size_t bytes)
 {
 	put_length(&l->out, bytes);
 	fp_buffer_put(&l->out, data, bytes);
@@ -289,9 +224,7 @@
 		flush(l);
 }
 
-/* --- handshake --- */
-
-static void link_up(struct fp_peer_link *l)
+void peer_link_up(struct fp_peer_link *l)
 {
 	struct fp_peer_net *n = l->net;
 
@@ -305,144 +238,6 @@
 	send_queued(l);
 }
 
-static void write_hello(struct fp_peer_link *l, uint8_t type,
-			const uint8_t *nonce, uint8_t out[HELLO_BYTES])
-{
-	uint8_t *p = out;
-
-	*p++ = type;
-	memcpy(p, nonce, FP_NONCE_BYTES);
-	p += FP_NONCE_BYTES;
-	memcpy(p, &l->net->id, 8);
-	p += 8;
-	memcpy(p, l->net->addr, FP_PEER_ADDR_BYTES);
-}
-
-static bool read_hello(const uint8_t *p, uint8_t type, uint8_t *nonce,
-		       uint64_t *id, char addr[FP_PEER_ADDR_BYTES])
-{
-	if (p[0] != type)
-		return false;
-	memcpy(nonce, p + 1, FP_NONCE_BYTES);
-	memcpy(id, p + 1 + FP_NONCE_BYTES, 8);
-	memcpy(addr, p + 1 + FP_NONCE_BYTES + 8, FP_PEER_ADDR_BYTES);
-	return memchr(addr, '\0', FP_PEER_ADDR_BYTES) != NULL && *id != 0;
-}
-
-static void init_sealing(struct fp_peer_link *l, uint8_t header[HEADER_BYTES])
-{
-	uint8_t key[32];
-
-	fp_frame_key(l->secret, &l->transcript,
-		     l->dialed ? FP_DIALER : FP_ACCEPTOR, key);
-	crypto_secretstream_xchacha20poly1305_init_push(&l->seal, header, key);
-	sodium_memzero(key, sizeof(key));
-}
-
-static bool init_opening(struct fp_peer_link *l, const uint8_t *header)
-{
-	uint8_t key[32];
-	int rc;
-
-	fp_frame_key(l->secret, &l->transcript,
-		     l->dialed ? FP_ACCEPTOR : FP_DIALER, key);
-	rc = crypto_secretstream_xchacha20poly1305_init_pull(&l->open, header,
-							     key);
-	sodium_memzero(key, sizeof(key));
-	return rc == 0;
-}
-
-static bool find_secret(struct fp_peer_link *l, enum fp_peer_role role,
-			const uint8_t *proof)
-{
-	struct fp_peer_net *n = l->net;
-	uint32_t i;
-
-	for (i = 0; i < n->n_secrets; i++) {
-		if (fp_proof_check(n->secrets[i], &l->transcript, role,
-				   proof) != FP_OK)
-			continue;
-		memcpy(l->secret, n->secrets[i], FP_PEER_SECRET_BYTES);
-		return true;
-	}
-	fp_counter_add(n->bad_proofs, 1);
-	return false;
-}
-
-static void send_hello(struct fp_peer_link *l)
-{
-	struct fp_transcript *t = &l->transcript;
-	uint8_t hello[HELLO_BYTES];
-
-	randombytes_buf(t->dial_nonce, FP_NONCE_BYTES);
-	t->dial_id = l->net->id;
-	memcpy(t->dial_addr, l->net->addr, FP_PEER_ADDR_BYTES);
-	write_hello(l, HELLO, t->dial_nonce, hello);
-	l->state = WAIT_ACCEPT;
-	send_plain(l, hello, sizeof(hello));
-}
-
-static bool on_hello(struct fp_peer_link *l, const uint8_t *p, size_t bytes)
-{
-	struct fp_peer_net *n = l->net;
-	struct fp_transcript *t = &l->transcript;
-	uint8_t out[ACCEPT_BYTES];
-
-	if (!n->n_secrets || bytes != HELLO_BYTES ||
-	    !read_hello(p, HELLO, t->dial_nonce, &t->dial_id, t->dial_addr))
-		return false;
-	randombytes_buf(t->accept_nonce, FP_NONCE_BYTES);
-	t->accept_id = n->id;
-	memcpy(t->accept_addr, n->addr, FP_PEER_ADDR_BYTES);
-	memcpy(l->secret, n->secrets[0], FP_PEER_SECRET_BYTES);
-	write_hello(l, ACCEPT, t->accept_nonce, out);
-	fp_proof_make(l->secret, t, FP_ACCEPTOR, out + HELLO_BYTES);
-	init_sealing(l, out + HELLO_BYTES + FP_PROOF_BYTES);
-	l->state = WAIT_FINISH;
-	send_plain(l, out, sizeof(out));
-	return true;
-}
-
-static bool on_accept(struct fp_peer_link *l, const uint8_t *p, size_t bytes)
-{
-	struct fp_transcript *t = &l->transcript;
-	uint8_t out[FINISH_BYTES];
-
-	if (bytes != ACCEPT_BYTES || !read_hello(p, ACCEPT, t->accept_nonce,
-						 &t->accept_id, t->accept_addr))
-		return false;
-	if (!find_secret(l, FP_ACCEPTOR, p + HELLO_BYTES) ||
-	    !init_opening(l, p + HELLO_BYTES + FP_PROOF_BYTES))
-		return false;
-	out[0] = FINISH;
-	fp_proof_make(l->secret, t, FP_DIALER, out + 1);
-	init_sealing(l, out + 1 + FP_PROOF_BYTES);
-	send_plain(l, out, sizeof(out));
-	if (l->state == CLOSED)
-		return true;
-	l->peer.id = t->accept_id;
-	link_up(l);
-	return true;
-}
-
-static bool on_finish(struct fp_peer_link *l, const uint8_t *p, size_t bytes)
-{
-	struct fp_transcript *t = &l->transcript;
-
-	if (bytes != FINISH_BYTES || p[0] != FINISH)
-		return false;
-	if (fp_proof_check(l->secret, t, FP_DIALER, p + 1) != FP_OK) {
-		fp_counter_add(l->net->bad_proofs, 1);
-		return false;
-	}
-	if (!init_opening(l, p + 1 + FP_PROOF_BYTES))
-		return false;
-	l->peer.id = t->dial_id;
-	memcpy(l->peer.addr, t->dial_addr, FP_PEER_ADDR_BYTES);
-	link_up(l);
-	return true;
-}
-
 /* --- reading --- */
 
 static bool on_sealed(struct fp_peer_link *l, const uint8_t *p, size_t bytes)
@@ -467,24 +262,15 @@
 
 static bool on_frame(struct fp_peer_link *l, const uint8_t *p, size_t bytes)
 {
-	switch (l->state) {
-	case WAIT_HELLO:
-		return on_hello(l, p, bytes);
-	case WAIT_ACCEPT:
-		return on_accept(l, p, bytes);
-	case WAIT_FINISH:
-		return on_finish(l, p, bytes);
-	case UP:
+	if (l->state == UP)
 		return on_sealed(l, p, bytes);
-	default:
-		return true;
-	}
+	return l->state == CLOSED || peer_on_handshake(l, p, bytes);
 }
 
 static size_t frame_limit(const struct fp_peer_link *l)
 {
 	return l->state == UP ? l->net->max_frame_bytes + SEAL_BYTES :
-				MAX_HANDSHAKE_BYTES;
+				PEER_MAX_HANDSHAKE_BYTES;
 }
 
 static void handle_frames(struct fp_peer_link *l)
@@ -535,7 +321,7 @@
 		link_close(l, strerror(err));
 		return;
 	}
-	send_hello(l);
+	peer_send_hello(l);
 }
 
 static void handle_events(struct fp_peer_link *l, uint32_t events)
