--- a/src/transport/http_pipeline.c
+++ b/src/transport/http_pipeline.c
@@ -90,7 +90,7 @@
 	size_t head_bytes; /* of the requests that are not answered */
 	size_t held_bytes; /* answers not sent */
 	int64_t used_us; /* last request or answer */
-	bool busy; /* its requests are being read; answers wait for their end */
+	bool busy; /* its requests are being read; answers are sent after that */
 	bool gone; /* failed or closed by the client */
 	bool ended; /* in the list of ended connections */
 	bool handing_over; /* reads no more; the library takes it when empty */
--- a/src/transport/http_server_private.h
+++ b/src/transport/http_server_private.h
@@ -41,7 +41,7 @@
 	bool ending; /* its connection is to end */
 	bool ended; /* the library has completed it; the answer is dropped */
 	char *uri; /* raw */
-	char *method; /* as sent; NULL until the head has arrived, or read ahead */
+	char *method; /* as sent; NULL before the head and if read ahead */
 	uint8_t *body; /* malloc'd */
 	size_t body_bytes; /* used */
 	size_t body_size; /* allocated */
